Pace full calls where messages travel together; look at a full pool once in a reply

A trace line for each message that ended undelivered named two destinations only, with 100 to 300 messages waiting, no lease taken and paces of 4.4 to 5.8 calls a second on routes that told a limit of 3.1 for all forwarders. A profile gave 57% of the CPU to the module, most of it to _usable, once for each waiting message. Lines at fault: rules.py _pace and the pace after a refusal: the floor by demand was in messages a second, while up to 10 of them travel in a call, so the limit was overrun and each refusal used it up further.

Now the floor under refusals is that of full calls, and a pool in which a message without doubts finds no way is passed over for the rest of a reply. Tests for spoilt answers, doubled answers, 1xx, reports and targets that go.

--- a/emberlatch/rules.py
+++ b/emberlatch/rules.py
@@ -99,8 +99,9 @@
         self.short.pop(destination, None)
         if pool.waiting and (self.free <= 0 or self.stuck >= self.sick_cap):
             self.short[destination] = pool
+        brief = self._brief(pool)
         for message in pool.waiting.values():
-            times += [message.end - self.latest, self._wait_end(message, pool)]
+            times += [message.end - self.latest, self._wait_end(message, pool, brief)]
             times += [message.not_before, self.lines.rests_until(message.key)]
         for route in pool.routes if pool.waiting else ():
             times += [route.blocked_until, route.next_trial, route.bucket.ready_at(self._pace(route))]
@@ -166,18 +167,24 @@
             self.actions.append(api.Fail(message.ref))
         self._close(message.ref)
 
-    def _wait_end(self, message: Message, pool: Pool) -> float:
-        """The design's burst x latency / size, before the aim; in trouble, or come again, it waits on."""
+    def _brief(self, pool: Pool) -> float:
+        """The design's wait: burst x latency / size; none in trouble."""
+        if pool.sick:
+            return math.inf
+        return self.settings.open_cap * pool.normal / self._size(pool) or math.inf
+
+    def _wait_end(self, message: Message, pool: Pool, brief: float) -> float:
+        """That wait ends before the aim; a message that has come again waits on."""
         if message.returned or (self.refused >= 5 and self.came_back < 0.3 * self.refused):
             return math.inf
-        brief = self.settings.open_cap * pool.normal / self._size(pool) or math.inf
-        return min(message.aim - pool.normal, message.arrived + (math.inf if pool.sick else brief))
+        return min(message.aim - pool.normal, message.arrived + brief)
 
     def _give_up(self, pool: Pool) -> None:
         """The brief wait ends before the aim; every message is answered before its end."""
+        brief = self._brief(pool)
         for message in list(pool.waiting.values()):
             over = self.now >= message.end - self.latest or message.attempts >= self.settings.max_attempts
-            waited = self.now >= self._wait_end(message, pool)
+            waited = self.now >= self._wait_end(message, pool, brief)
             if over or (waited and self._may_refuse(message)):
                 self._end(message)
 
@@ -206,11 +213,15 @@
                 if message.not_before <= now and self.lines.in_turn(message, now):
                     stake = 1.1 * message.worth(after, decay) - message.worth(after + HORIZON, decay)
                     ranked.append((stake / lease, message))
+        shut = set[Pool]()  # these take no more: where a message without doubts finds no way, none does
         for _, message in sorted(ranked, key=lambda item: -item[0]):
-            if self.lines.in_turn(message, now):
-                self._place(message)
+            pool = self.pools[message.destination]
+            if pool not in shut and self.lines.in_turn(message, now):
+                placed = self._place(message)
+                if not placed and not message.doubts:
+                    shut.add(pool)
 
-    def _place(self, message: Message) -> None:
+    def _place(self, message: Message) -> bool:
         """Send a message by the route that costs least, if there is a lease and a route for it."""
         pool, best, least = self.pools[message.destination], None, math.inf
         lease = self.free > 0 and pool.leases < self._size(pool)
@@ -227,7 +238,7 @@
                 if cost < least and endpoint.ready and self._may_send(message, endpoint):
                     best, least = endpoint, cost
         if best is None:
-            return
+            return False
         call, target = self.joined.get(best.entry.target), best.entry.target
         if call is None:
             call = self.joined[target] = Call(best, self.now, best.route.held)
@@ -241,6 +252,7 @@
         if call.trial or len(call.messages) >= best.per_call:
             del self.joined[target]
         self.lines.sent(message)
+        return True
 
     def _timeout(self, message: Message, route: Route) -> float:
         """Never shorter than doubt is worth: after doubt an unsafe message is lost to us."""
@@ -276,8 +288,12 @@
         return route.bucket.fill(self.now, pace, depth) >= 1 and not cold
 
     def _pace(self, route: Route) -> float:
-        """Calls a second; at least a part of our demand, all of it while few calls anywhere are refused."""
-        return max(route.pace, (LEAST_PART + MORE_PART * self.room) * self._part(route), 1e-6)
+        """Calls a second; at least a part of our demand, all of it while few calls anywhere are refused.
+
+        Where many are, the least part is that of full calls: messages that wait travel together.
+        """
+        least = LEAST_PART / max((e.per_call for e in route.endpoints), default=1) + MORE_PART * self.room
+        return max(route.pace, least * self._part(route), 1e-6)
 
     def _part(self, route: Route) -> float:
         """Calls a second that we have for a route. It may be far under one in our lifetime, and yet
@@ -398,7 +414,8 @@
         pool.grown = max(1.0, pool.grown * 0.7)
         if result is Result.FULL:
             # Quick refusals hold no lease, so the pool cannot feel them: a pace does.
-            lately = max(self._part(route), route.limit / self.settings.forwarders / 2)
+            calls = self._part(route) / (1 + len(call.messages))  # of as many messages as this one
+            lately = max(calls, route.limit / self.settings.forwarders / 2)
             route.pace = max(min(route.pace, 2 * lately), lately * LEAST_PART) * SLOWER
         full = result is Result.CONNECT_FAILED and endpoint.last_ok > call.sent - ALIVE
         if full or (result is Result.FULL and route.left < USED_UP):
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -11,7 +11,7 @@
 
 from emberlatch import wire
 from emberlatch.interface import Entry, Outcome, Phase, Result
-from emberlatch.net.http import parse_address
+from emberlatch.net.http import REST, parse_address
 from emberlatch.net.targets import Item, Targets
 from emberlatch.net.tasks import Tasks
 from tests.peers import SETTINGS, Exchange, Handler, Peer, accept, free_port, respond, silence
@@ -209,3 +209,164 @@
             assert (await caller.call("m2"))[0].result is Result.OK
 
     run(test())
+
+
+SPOILT = [
+    b"\x00\x07noise",
+    b"HTTP/1.1 503 X\r\nRetry-After",  # a head that does not end
+    b"HTTP/1.1 503 X\r\nContent-Length: 500\r\n\r\nshort",
+    b"HTTP/1.1 503 X\r\nContent-Length: -1\r\n\r\n",
+    b"HTTP/1.1 500 X\r\nContent-Length: 3000000000\r\n\r\n" + bytes(1000),
+    b"HTTP/1.1 503 X\r\n\r\n" + bytes(200_000),  # no length, and over any that is allowed
+    b"HTTP/1.1 503 X\r\nA: " + b"a" * 40_000,
+    b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("answer", SPOILT)
+def test_a_spoilt_answer_may_have_run_and_ends_its_connection(answer: bytes) -> None:
+    """It came on a connection that stays open: only giving it up frees the slot before the time-out."""
+
+    async def handle(exchange: Exchange) -> None:
+        if exchange.headers["x-request-id"] != "m1":
+            return await exchange.answer(200)
+        exchange.writer.write(answer)
+        await exchange.reader.read()
+
+    async def test() -> None:
+        async with Peer(handle) as peer:
+            caller = Caller(peer.address)
+            assert (await caller.call("m0"))[0].result is Result.OK  # what came before does not speak for it
+            assert (await caller.call("m1"))[0].result is Result.RESET
+            assert (await caller.call("m2"))[0].result is Result.OK
+            assert peer.connections == 2
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "rest", [b"Content-Le", b"\x00\r\n\r\n", b"Content-Length: 9000000000\r\n\r\nx", b"\r\n"]
+)
+def test_a_first_line_with_200_is_a_delivery_whatever_follows(rest: bytes) -> None:
+    async def handle(exchange: Exchange) -> None:
+        exchange.writer.write(b"HTTP/1.1 200 OK\r\n" + rest)
+        await exchange.reader.read()
+
+    async def test() -> None:
+        async with Peer(handle) as peer:
+            caller = Caller(peer.address)
+            (outcome,) = await caller.call("m1")
+            assert (outcome.result, outcome.closed) == (Result.OK, True)
+            assert {o.result for o in await caller.call("a", "b")} == {
+                Result.RESET
+            }  # of several it says nothing
+
+    run(test())
+
+
+WHOLE = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("extra", [WHOLE, b"\x00noise", b"HTTP/1.1 2"])
+@pytest.mark.parametrize("late", [False, True])
+def test_what_comes_behind_an_answer_is_not_the_next_calls(extra: bytes, late: bool) -> None:
+    async def handle(exchange: Exchange) -> None:
+        if exchange.headers["x-request-id"] == "m1":
+            exchange.writer.write(WHOLE if late else WHOLE + extra)
+            if late:
+                await asyncio.sleep(0.01)
+                exchange.writer.write(extra)
+            await exchange.reader.read()
+        else:
+            await exchange.answer(200)
+
+    async def test() -> None:
+        async with Peer(handle) as peer:
+            caller = Caller(peer.address)
+            assert (await caller.call("m1"))[0].result is Result.FULL  # a good answer all the same
+            if late:
+                (connection,) = caller.targets._used
+                while connection.usable:  # until the rest has come
+                    await asyncio.sleep(0.001)
+            assert (await caller.call("m2"))[0].result is Result.OK
+            assert peer.connections == 2
+
+    run(test())
+
+
+def test_answers_ahead_of_the_real_one_are_passed_over() -> None:
+    async def handle(exchange: Exchange) -> None:
+        exchange.writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n")
+        await asyncio.sleep(2 * REST)  # the time for the rest of an answer does not run between two
+        await exchange.answer(429, Retry_After="0.5")
+
+    async def test() -> None:
+        async with Peer(handle) as peer:
+            (outcome,) = await Caller(peer.address).call()
+            assert (outcome.result, outcome.hold) == (Result.FULL, 0.5)
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "report", ["x0=nan,x1=5", "x0=0.5,x1=inf", "x0=0.5,x1=-3", "x1=5", "x0=0.5,x1", "=,,=="]
+)
+def test_a_load_report_that_cannot_be_read_is_none(report: str) -> None:
+    async def test() -> None:
+        async with Peer(answering(200, X_Server_Load=report)) as peer:
+            (outcome,) = await Caller(peer.address).call()
+            assert (outcome.result, outcome.report) == (Result.OK, ())
+
+    run(test())
+
+
+@pytest.mark.parametrize(("text", "hold"), [("nan", 0.0), ("-1", 0.0), ("soon", 0.0), ("inf", 3600.0)])
+def test_an_absurd_wait_is_none_or_cut(text: str, hold: float) -> None:
+    async def test() -> None:
+        async with Peer(answering(429, Retry_After=text)) as peer:
+            assert (await Caller(peer.address).call())[0].hold == hold
+
+    run(test())
+
+
+def test_targets_that_are_gone_leave_nothing_behind() -> None:
+    async def test() -> None:
+        async with Peer(answering(429, Retry_After="0.001")) as peer:
+            caller = Caller(peer.address)
+            for n in range(50):
+                await caller.call(f"m{n}")
+                name = b"s-%d" % n
+                caller.targets.update([Entry(name, 7)], {name: caller.address}, whole=True)
+                caller.targets.call(name, [Item(0, 0, "x", "", b"", 10.0)])
+                await caller.outcomes.get()
+                caller.listed()
+            await caller.call()
+            assert len(caller.targets._targets) == 1
+            assert len(caller.targets._waits) <= 2 and len(caller.targets._used) <= 1
+            # A late call to one that is gone never ran.
+            caller.targets.call(b"s-3", [Item(0, 0, "late", "", b"", 10.0)])
+            assert (await caller.outcomes.get()).result is Result.MOOT
+
+    run(test())
+
+
+def test_a_call_that_is_out_to_a_target_that_goes_has_its_outcome() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def handle(exchange: Exchange) -> None:
+            await go.wait()
+            await exchange.answer(200)
+
+        async with Peer(handle) as peer:
+            caller = Caller(peer.address)
+            call = asyncio.ensure_future(caller.call())
+            await peer.next()
+            caller.targets.update([], {}, whole=True)
+            go.set()
+            assert (await call)[0].result is Result.OK
+            await asyncio.sleep(0)
+            assert not caller.targets._targets
+
+    run(test())
