--- a/emberlatch/__main__.py
+++ b/emberlatch/__main__.py
@@ -23,7 +23,7 @@
 # Descriptors beside those of clients and calls: standard streams, the loop's own, the listener, the
 # journal's (two while it rolls), discovery and notices (two each while they move), files read, and
 # sockets accepted or closed in a turn of the loop that are not counted yet.
-RESERVED = 24
+RESERVED = 32
 CLIENTS_SHARE = 0.5  # of the others: calls get the rest
 
 
--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 WATCH_FOR = 20.0  # seconds that one call of the watch may wait
+LEAST_GAP = 0.05  # seconds between two calls of it
 PATIENCE = 1.8  # seconds beyond that until it counts as failed: after 2, what it had to tell counts as told
 MAX_LIST = 1 << 20  # bytes of a list
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
@@ -73,16 +74,22 @@
 
     async def _watch(self) -> None:
         connection: Connection | None = None
-        while self._wanted:
-            path = "/v1/servers"
-            if self._revision is not None:
-                path += f"?since={self._revision}&timeout_ms={WATCH_FOR * 1000:.0f}"
-            # The next call follows at once: a watch goes on if it comes within 200 ms.
-            connection = await self._ask(connection, path, WATCH_FOR)
-            if connection is None:
-                return
-        if connection is not None:
-            connection.close()
+        loop = asyncio.get_running_loop()
+        try:
+            while self._wanted:
+                asked = loop.time()
+                path = "/v1/servers"
+                if self._revision is not None:
+                    path += f"?since={self._revision}&timeout_ms={WATCH_FOR * 1000:.0f}"
+                connection = await self._ask(connection, path, WATCH_FOR)
+                if connection is None:
+                    return
+                # A watch goes on if the next call comes within 200 ms: time enough not to spin on a
+                # service that answers at once, again and again.
+                await asyncio.sleep(max(0.0, asked + LEAST_GAP - loop.time()))
+        finally:  # also when this task is cancelled between two calls
+            if connection is not None:
+                connection.close()
 
     async def _ask(self, connection: Connection | None, path: str, wait: float) -> Connection | None:
         """One call; its connection if it went well. A failure is told to the decision module."""
--- a/emberlatch/net/store.py
+++ b/emberlatch/net/store.py
@@ -77,6 +77,9 @@
             if not path.stem.isdigit():
                 continue
             number, data = int(path.stem), path.read_bytes()
+            if not data:  # of a start that wrote nothing
+                path.unlink()
+                continue
             self._sizes[number] = len(data)
             for payload in _records(data, path.name):
                 try:
@@ -132,7 +135,7 @@
 
     def _append(self, record: bytes) -> None:
         for _ in range(len(self._sizes)):
-            if sum(self._sizes.values()) + len(record) <= self._most:
+            if sum(map(_on_disk, self._sizes.values())) + len(record) <= self._most:
                 break
             self._compact()
         self._write(record)
@@ -170,6 +173,11 @@
         del self._sizes[oldest]
 
 
+def _on_disk(size: int) -> int:
+    """What a file of that size counts as: after many restarts there are many small ones."""
+    return -(-size // 512) * 512
+
+
 def _weight(entry: Entry) -> int:
     return len(entry.body) + _OVERHEAD
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -89,3 +89,18 @@
 
 def size(folder: Path) -> int:
     return sum(-(-path.stat().st_size // 512) * 512 for path in folder.iterdir())
+
+
+def test_many_restarts_leave_no_files_behind_and_keep_the_limit(tmp_path: Path) -> None:
+    """Each start opens a segment, and a file of one byte counts as 512."""
+    limit = 600_000
+    for ref in range(300):
+        store = Store(tmp_path, limit)
+        store.load()
+        if ref % 2:
+            new = entry(ref, 2000)
+            store.take(new)
+            store.forget(new)
+        store.close()
+        assert size(tmp_path) <= limit
+    assert sum(1 for path in tmp_path.iterdir() if not path.stat().st_size) <= 1
