End each message of a call in its own time while the call connects; watch in shorter calls

By reading, targets.py _exchange: connect() waited as long as the longest message of a batch, so a shorter one got its outcome up to connect-timeout late. The test fails without the mend. A notice on a connection gone silent was sent again after 2 s, while 0.3 s are allowed; after 0.1 s now, with growing patience. A trace showed that answers cut short come from targets that stall after 200 and a length, and that the watches that broke were closed by the other side, not by our limits.

--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger(__name__)
 
-WATCH_FOR = 20.0  # seconds that one call of the watch may wait
+WATCH_FOR = 5.0  # seconds that one call of the watch may wait: so long a silent service goes unnoticed
 LEAST_GAP = 0.05  # seconds between two calls of it
 PATIENCE = 1.8  # seconds beyond that until it counts as failed: after 2, what it had to tell counts as told
 MAX_LIST = 1 << 20  # bytes of a list
--- a/emberlatch/net/notices.py
+++ b/emberlatch/net/notices.py
@@ -13,8 +13,10 @@
 
 log = logging.getLogger(__name__)
 
-PATIENCE = 1.0  # seconds for a connection, and for an answer
-PAUSE = 0.1  # seconds between tries
+# Seconds for a try, at first and at most: the platform answers at once, and a connection that has gone
+# silent must not make a notice late.
+PATIENCE, MOST_PATIENCE = 0.1, 1.0
+PAUSE = 0.05  # seconds between tries
 MOST = 500  # notices in one request: about 40 KiB
 
 
@@ -48,11 +50,12 @@
         return bool(self._owed)
 
     async def _run(self) -> None:
-        most = MOST
+        most, patience = MOST, PATIENCE
         while True:
             await self._wake.wait()
             refs = list(self._owed)[:most]
-            status = await self._post(b"".join(self._owed[ref] for ref in refs))
+            status = await self._post(b"".join(self._owed[ref] for ref in refs), patience)
+            patience = PATIENCE if status else min(2 * patience, MOST_PATIENCE)
             if status == 204 or (status == 400 and len(refs) == 1):
                 if status == 400:
                     log.error("the platform cannot read %r", self._owed[refs[0]])
@@ -68,17 +71,18 @@
             if not self._owed:
                 self._wake.clear()
 
-    async def _post(self, body: bytes) -> int:
+    async def _post(self, body: bytes, patience: float) -> int:
         """The status of the answer, or 0."""
         head = "POST /reports HTTP/1.1\r\nHost: %s:%d\r\nContent-Length: %d\r\n\r\n"
         try:
-            async with asyncio.timeout(2 * PATIENCE):
-                if self._connection is None or self._connection.closed:
-                    self._connection = await connect(self._platform, PATIENCE)
+            async with asyncio.timeout(patience):
+                if self._connection is None or not self._connection.usable:
+                    self._connection = await connect(self._platform, patience)
                 request = (head % (*self._platform, len(body))).encode() + body
                 return (await self._connection.exchange(request)).status
         except (OSError, BrokenError) as error:
             log.info("notices not confirmed: %r", error)
             if self._connection is not None:
                 self._connection.close()
+                self._connection = None
             return 0
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from emberlatch.interface import Entry, Outcome, Phase, Result, Settings
 from emberlatch.net.directory import Addresses
@@ -129,12 +130,11 @@
             self._take_idle(known).close()
 
     async def _run(self, target: _Target, call: _Call) -> None:
-        items = call.items
         try:
             await self._exchange(target, call)
         except (OSError, BrokenError) as error:
             never_ran = not (isinstance(error, BrokenError) and error.written)
-            if isinstance(error, BrokenError) and error.status == 200 and len(items) == 1:
+            if isinstance(error, BrokenError) and error.status == 200 and len(call.items) == 1:
                 call.settle_all(Result.OK, closed=True)  # a first line with 200 is a delivery
             call.settle_all(Result.CONNECT_FAILED if never_ran else Result.RESET)
         except Exception:  # costs the messages of this call, which may have run, and nothing else
@@ -147,22 +147,25 @@
                 self._forget(call.target)
 
     async def _exchange(self, target: _Target, call: _Call) -> None:
-        loop = asyncio.get_running_loop()
         connection = self._idle_connection(target)
         if connection is None:
             self._make_room()
-            limit = min(self._settings.connect_timeout, call.ends() - loop.time())
-            connection = await connect(target.address, limit)
-        if not self._open(target):
-            # A wait or a drain was heard while the connection came up: the call must not go out.
+            coming = asyncio.ensure_future(connect(target.address, self._settings.connect_timeout))
+            try:
+                await call.wait_for(coming, lambda: False)
+            finally:
+                coming.cancel()
+            if not coming.done():
+                return
+            connection = coming.result()
+        if not (call.pending and self._open(target)):
+            # A wait or a drain was heard while the connection came up, or nobody waits any longer.
             self._keep(target, connection)
             return call.settle_all(Result.MOOT)
+        call.items = list(call.pending)
         answer = connection.exchange(_request(target.address, call.items))
         try:
-            while call.pending and not answer.done():
-                await asyncio.wait({answer}, timeout=max(0.0, call.next_end() - loop.time()))
-                if not answer.done():
-                    call.expire(loop.time(), connection.written)
+            await call.wait_for(answer, lambda: connection.written)
         finally:
             if answer.cancel():
                 connection.close()  # giving up a call ends its connection, and so frees its slot
@@ -246,16 +249,15 @@
         self.pending = {item: self._started + item.timeout for item in items}
         self._report = report
 
-    def next_end(self) -> float:
-        return min(self.pending.values())
-
-    def ends(self) -> float:
-        return max(self.pending.values())
-
-    def expire(self, now: float, written: bool) -> None:
-        """Stop waiting for the messages whose time is up."""
-        for item in [item for item, end in self.pending.items() if end <= now]:
-            self.settle(item, Result.TIMEOUT if written else Result.CONNECT_FAILED)
+    async def wait_for(self, step: asyncio.Future[Any], written: Callable[[], bool]) -> None:
+        """Wait until a step is done; messages whose time is up before have their outcome then."""
+        loop = asyncio.get_running_loop()
+        while self.pending and not step.done():
+            await asyncio.wait({step}, timeout=max(0.0, min(self.pending.values()) - loop.time()))
+            if not step.done():
+                now, late = loop.time(), Result.TIMEOUT if written() else Result.CONNECT_FAILED
+                for item in [item for item, end in self.pending.items() if end <= now]:
+                    self.settle(item, late)
 
     def settle_all(
         self, result: Result, closed: bool = False, hold: float = 0.0, report: tuple[float, ...] = ()
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -11,7 +11,7 @@
 
 from emberlatch import wire
 from emberlatch.interface import Entry, Outcome, Phase, Result
-from emberlatch.net.http import REST, parse_address
+from emberlatch.net.http import REST, Address, Connection, connect, parse_address
 from emberlatch.net.targets import Item, Targets
 from emberlatch.net.tasks import Tasks
 from tests.peers import SETTINGS, Exchange, Handler, Peer, accept, free_port, respond, silence
@@ -342,8 +342,10 @@
                 await caller.outcomes.get()
                 caller.listed()
             await caller.call()
+            await asyncio.sleep(0.002)  # the last wait is over
+            caller.listed()
             assert len(caller.targets._targets) == 1
-            assert len(caller.targets._waits) <= 2 and len(caller.targets._used) <= 1
+            assert not caller.targets._waits and len(caller.targets._used) <= 1
             # A late call to one that is gone never ran.
             caller.targets.call(b"s-3", [Item(0, 0, "late", "", b"", 10.0)])
             assert (await caller.outcomes.get()).result is Result.MOOT
@@ -370,3 +372,29 @@
             assert not caller.targets._targets
 
     run(test())
+
+
+def test_a_message_whose_time_is_up_while_its_call_connects_has_its_outcome_then(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on sockets: in a call with longer ones it waited for the connection, and its end came late."""
+
+    async def test() -> None:
+        async with Peer(accept) as peer:
+            caller, up = Caller(peer.address), asyncio.Event()
+
+            async def slow(address: Address, timeout: float) -> Connection:
+                await up.wait()
+                return await connect(address, timeout)
+
+            monkeypatch.setattr("emberlatch.net.targets.connect", slow)
+            items = [Item(0, 0, "brief", "", b"x", 0.02), Item(1, 0, "long", "", b"x", 10.0)]
+            caller.targets.call(TARGET, items)
+            first = await caller.outcomes.get()
+            assert (first.ref, first.result) == (0, Result.CONNECT_FAILED)
+            up.set()
+            second = await caller.outcomes.get()
+            assert (second.ref, second.result) == (1, Result.OK)
+            assert (await peer.next()).headers["x-request-id"] == "long"  # it goes alone
+
+    run(test())
