Rank leases by what they carry

A trace twice a second showed no free slot of 10 all that time, hardly any on hung routes (0 to 3 stuck, so it was not the hang that held them), and 200 to 380 messages waiting for destination 2, whose routes were ready with tokens to spare and no lease. Line at fault: rules.py _dispatch ranked single messages by stake and lease time; those of a destination that takes ten in a call competed one by one with those that take a lease each.

A further message in a call now counts as 0.35 of the first.

--- a/emberlatch/rules.py
+++ b/emberlatch/rules.py
@@ -17,6 +17,7 @@
 from emberlatch.records import Agenda, Call, Endpoint, Lines, Message, Pool, Route
 
 HEADROOM, PEAK_KEEPS = 1.5, 0.95  # pool over peak rate x latency; share of a peak left a second later
+ITEM_COST = 0.35  # what a further message adds to a call, ours: kinds differ and do not tell
 HORIZON = 2.0  # seconds a passed-over message is thought to wait for its next chance
 FEE_WEIGHT = 20.0  # a route with a fee is as good as a free one this much slower per point of fee
 SLOW = 3.0  # a route is slow at this multiple of its normal latency
@@ -200,7 +201,10 @@
         return int(min(self.sick_cap if pool.sick else self.healthy_cap, max(1, wanted, pool.grown)))
 
     def _dispatch(self) -> None:
-        """Free leases go to the waiting messages with most at stake for the time a lease takes."""
+        """Free leases go to the waiting messages with most at stake for the time a lease takes.
+
+        Those that can travel together need one lease between them.
+        """
         now, decay, ranked = self.now, self.settings.decay, []
         for pool in self.touched.values():
             if not pool.waiting or self.free <= 0 or pool.leases >= self._size(pool):
@@ -209,10 +213,13 @@
             if now + STOP_ROOM * lease > self.stops_at:
                 continue
             after = now + lease
-            for message in pool.waiting.values():
-                if message.not_before <= now and self.lines.in_turn(message, now):
-                    stake = 1.1 * message.worth(after, decay) - message.worth(after + HORIZON, decay)
-                    ranked.append((stake / lease, message))
+            due = [m for m in pool.waiting.values() if m.not_before <= now and self.lines.in_turn(m, now)]
+            most = max((e.per_call for route in pool.routes for e in route.endpoints), default=1)
+            together = min(most, max(1, len(due)))
+            lease *= (1 + ITEM_COST * (together - 1)) / together
+            for message in due:
+                stake = 1.1 * message.worth(after, decay) - message.worth(after + HORIZON, decay)
+                ranked.append((stake / lease, message))
         shut = set[Pool]()  # these take no more: where a message without doubts finds no way, none does
         for _, message in sorted(ranked, key=lambda item: -item[0]):
             pool = self.pools[message.destination]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -465,3 +465,67 @@
     scope: dict[str, object] = {}
     exec(match.group(1), scope)
     assert "Send" in str(scope["actions"])
+
+
+def crowded(per_call: tuple[int, ...]) -> list[api.Send]:
+    """One slot, taken; one message waits for destination 2, and ten that came later for destination 1."""
+    note = api.Category("note", api.Effect.SAFE, aim=3.0, deadline=12.0)
+    separate = (True,) * len(per_call)
+    told = api.Settings(categories=(note,), slots=1, open_cap=50, per_call=per_call, separate_routes=separate)
+    forwarder = Forwarder(told, 1)
+    entries = [api.Entry(bytes([n]), n, kind=n) for n in range(3)]
+    forwarder.handle(0.0, [api.DirectoryUpdate(api.ListKind.CACHED, 1, tuple(entries))])
+    forwarder.handle(0.1, [api.Arrival(0, 0, 0, 12.0)])
+    waiting = [api.Arrival(1, 0, 2, 12.0), *(api.Arrival(n, 0, 1, 12.0) for n in range(2, 12))]
+    assert not any(isinstance(a, api.Send) for a in forwarder.handle(0.2, waiting))
+    actions = forwarder.handle(0.3, [api.Outcome(0, 0, bytes([0]), Result.OK, 0.2, closed=True)])
+    return [action for action in actions if isinstance(action, api.Send)]
+
+
+def test_a_scarce_slot_goes_where_one_call_carries_most() -> None:
+    """Found on sockets: with no slot free, hundreds waited for a healthy target that takes ten a call."""
+    assert {(send.target, send.ref) for send in crowded((1, 10, 1))} == {(b"\x01", n) for n in range(2, 12)}
+    assert len(crowded((1, 1, 1))) == 1
+
+
+def test_under_refusals_the_floor_of_a_pace_is_that_of_full_calls() -> None:
+    """Found on sockets: in messages a second it overran the limit of a destination that takes ten a call."""
+    note = api.Category("note", api.Effect.SAFE, aim=3.0, deadline=12.0)
+    paces = {}
+    for most in (1, 10):
+        told = api.Settings((note,), slots=8, open_cap=500, per_call=(most,), separate_routes=(True,))
+        forwarder = Forwarder(told, 1)
+        forwarder.handle(0.0, [api.DirectoryUpdate(api.ListKind.CACHED, 1, (api.Entry(b"a", 0),))])
+        forwarder.handle(1.0, [api.Arrival(n, 0, 0, 12.0) for n in range(200)])
+        route = forwarder.pools[0].routes[0]
+        route.pace, forwarder.room = 0.1, 0.0  # refused again and again
+        paces[most] = forwarder._pace(route)
+    assert paces[10] == pytest.approx(paces[1] / 10)
+
+
+def test_a_target_that_is_gone_leaves_its_pool_and_bears_a_late_outcome() -> None:
+    """It kept its part of the demand and its ill health for good, and so slowed those that came after it."""
+    note = api.Category("note", api.Effect.SAFE, aim=3.0, deadline=12.0)
+    told = api.Settings((note,), slots=8, open_cap=50, per_call=(1,), separate_routes=(True,), max_attempts=3)
+    forwarder = Forwarder(told, 1)
+
+    def listed(now: float, name: bytes) -> list[api.Action]:
+        return forwarder.handle(now, [api.DirectoryUpdate(api.ListKind.FULL, 1, (api.Entry(name, 0),))])
+
+    listed(0.0, b"old")
+    forwarder.handle(0.1, [api.Arrival(1, 0, 0, 12.0)])
+    listed(0.2, b"new")
+    assert list(forwarder.endpoints) == [b"new"] and len(forwarder.pools[0].routes) == 1
+    late: list[api.Event] = [
+        api.Outcome(1, 0, b"old", Result.CONNECT_FAILED, 0.2),
+        api.ProbeResult(b"old", Result.OK, 0.1),
+    ]
+    forwarder.handle(0.3, late)
+    actions = forwarder.handle(1.0, [api.TimerFired(1)])
+    assert [a.target for a in actions if isinstance(a, api.Send)] == [b"new"]
+    for n in range(100):
+        listed(2.0 + 0.01 * n, b"%d" % n)
+    assert len(forwarder.endpoints) == len(forwarder.pools[0].routes) == 1
+    forwarder.handle(4.0, [api.Outcome(1, 1, b"new", Result.OK, 0.1, closed=True)])
+    forwarder.handle(300.0, [api.DirectoryUpdate(api.ListKind.FULL, 2, ())])
+    assert not forwarder.endpoints and not forwarder.pools and forwarder.free == 8
