Give strangers a part of the places, so that a newcomer does not drive out the one before it

Line at fault, in part: server.py joined: at the limit every newcomer cost the silent stranger before it, whose first request could be on its way. Strangers have a quarter of the places now.

--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -48,6 +48,7 @@
 SWEEP = 0.25  # seconds between looks for connections that are over their time
 LINGER = 0.25  # seconds in which a client that is still sending can read why it was turned away
 PIPELINED = 8  # requests of one connection that wait for their answers
+STRANGERS = 0.25  # of all places, from which on silent ones are the first to go
 AT_ONCE = 4  # connections accepted in one turn of the loop
 
 
@@ -154,11 +155,17 @@
         return bool(self._strangers or self._proven)
 
     def joined(self, client: Client) -> None:
-        """Count a connection in; one too many costs the one that is missed least, or itself."""
+        """Count a connection in; one too many costs the one that is missed least, or itself.
+
+        Strangers have a part of the places: with more they would drive out those that have proved
+        themselves, with none each would drive out the one that came just before it.
+        """
         if len(self._strangers) + len(self._proven) >= self._most:
-            silent = (other for other in self._strangers if other.idle)
-            unused = (other for other in self._proven if other.idle)
-            victim = next(silent, None) or next(unused, None) or next(iter(self._strangers), client)
+            silent = next((other for other in self._strangers if other.idle), None)
+            unused = next((other for other in self._proven if other.idle), None)
+            many = len(self._strangers) >= self._most * STRANGERS
+            first, second = (silent, unused) if many else (unused, silent)
+            victim = first or second or next(iter(self._strangers), client)
             self.left(victim)
             victim.transport.abort()
         if not client.transport.is_closing():
