Part the program into rooms: core, simlink, engine with four seams, store, net

Need: inventories, a gateway, AS2 and others are to be fronts, carriers and memberships of one engine. Until now net/node.py knew HTTP requests, discovery, calls and notices by name, and the packages had no floors.

Change: core/ (interface, records, rules), simlink/ (wire, adapter), store/, engine/ (the message's life and the seams Front, Carrier, Membership, End as small protocols) and net/ behind the seams. net/api.py turns a request into a Submission; platform.py reads EDGE_* and joins the parts. End has one word more than the platform needs: tells_deliveries, for installations where a delivery is told as well; off here. Behaviour is meant to be the same.

--- a/emberlatch/__init__.py
+++ b/emberlatch/__init__.py
@@ -1,5 +1,5 @@
 """Emberlatch decides, message by message, how a sender calls many outside destinations."""
 
-from emberlatch.rules import Forwarder
+from emberlatch.core import Forwarder
 
 __all__ = ["Forwarder"]
--- a/emberlatch/interface.py
+++ b/emberlatch/core/interface.py
@@ -1,4 +1,4 @@
-"""The types that go into and come out of :class:`emberlatch.rules.Forwarder`.
+"""The types that go into and come out of :class:`emberlatch.core.rules.Forwarder`.
 
 Settings are what a forwarder is told once, events are what it sees, actions are what it wants
 done. Times are seconds on one clock of the caller's that never runs backwards. Nothing in this
--- a/emberlatch/records.py
+++ b/emberlatch/core/records.py
@@ -5,7 +5,7 @@
 import heapq
 import math
 
-from emberlatch import interface as api
+from emberlatch.core import interface as api
 
 
 class Bucket:
--- a/emberlatch/rules.py
+++ b/emberlatch/core/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of a forwarder. The types, events and actions are in emberlatch/interface.py.
+"""Every decision of a forwarder. The types, events and actions are in interface.py.
 
 The ordinary path is a bulkhead: a call holds a lease of its destination's pool; a message that finds
 none waits briefly and is turned back. A ROUTE, which has its own limit, pace and health, is one endpoint
@@ -12,9 +12,9 @@
 from collections.abc import Iterable
 from typing import Any
 
-from emberlatch import interface as api
-from emberlatch.interface import Effect, ListKind, Phase, Result, Scope
-from emberlatch.records import Agenda, Call, Endpoint, Lines, Message, Pool, Route
+from emberlatch.core import interface as api
+from emberlatch.core.interface import Effect, ListKind, Phase, Result, Scope
+from emberlatch.core.records import Agenda, Call, Endpoint, Lines, Message, Pool, Route
 
 HEADROOM, PEAK_KEEPS = 1.5, 0.95  # pool over peak rate x latency; share of a peak left a second later
 ITEM_COST = 0.35  # what a further message adds to a call, ours: kinds differ and do not tell
--- /dev/null
+++ b/emberlatch/engine/__init__.py
@@ -0,0 +1,33 @@
+"""A message's life, whatever front it came by and whatever carrier takes it on."""
+
+from emberlatch.engine.engine import Engine
+from emberlatch.engine.seams import (
+    Address,
+    Addresses,
+    Answer,
+    BadMessageError,
+    Carrier,
+    End,
+    Front,
+    Item,
+    Membership,
+    Notice,
+    Submission,
+)
+from emberlatch.engine.tasks import Tasks
+
+__all__ = [
+    "Address",
+    "Addresses",
+    "Answer",
+    "BadMessageError",
+    "Carrier",
+    "End",
+    "Engine",
+    "Front",
+    "Item",
+    "Membership",
+    "Notice",
+    "Submission",
+    "Tasks",
+]
--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from emberlatch.interface import DirectoryUpdate, Entry, ListKind, Phase
-from emberlatch.net.http import Address, BrokenError, Connection, connect, parse_address
-from emberlatch.net.tasks import Tasks
+from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Phase
+from emberlatch.engine import Address, Addresses, Tasks
+from emberlatch.net.http import BrokenError, Connection, connect, parse_address
 
 log = logging.getLogger(__name__)
 
@@ -22,8 +22,6 @@
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
 PHASES = {"SERVING": Phase.READY, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
-Addresses = dict[bytes, Address]
-
 
 class Directory:
     """Keeps one watch going; `tell` gets each update with the addresses of its targets."""
@@ -31,11 +29,12 @@
     def __init__(
         self,
         service: Address,
+        known: Mapping[str, Any],
         settings: Mapping[str, Any],
         tell: Callable[[DirectoryUpdate, Addresses], None],
         tasks: Tasks,
     ) -> None:
-        self._service, self._tell, self._tasks = service, tell, tasks
+        self._service, self._known, self._tell, self._tasks = service, known, tell, tasks
         self._zones: Sequence[str] = settings.get("failure-domains") or ()
         self._kinds: Sequence[str] = settings.get("machine-types") or ()
         self._revision: int | None = None
@@ -43,9 +42,9 @@
         self._watching: asyncio.Task[None] | None = None
         self._looking: asyncio.Task[None] | None = None
 
-    def known(self, document: Mapping[str, Any]) -> None:
-        """Start from the list that came with the configuration."""
-        self._take(document, cached=True)
+    def start(self) -> None:
+        """Start from the list that came with the configuration; raises one of UNREADABLE."""
+        self._take(self._known, cached=True)
 
     def watch(self, active: bool) -> None:
         """Begin to watch, or go on; or stop after the present call."""
@@ -119,11 +118,11 @@
         kind = ListKind.CACHED if cached else ListKind.FULL if whole else ListKind.DELTA
         self._tell(DirectoryUpdate(kind, revision, tuple(entries)), addresses)
 
-    def read(self, document: Mapping[str, Any]) -> tuple[int, bool, list[Entry], Addresses]:
+    def read(self, document: Mapping[str, Any]) -> tuple[int, bool, list[Entry], dict[bytes, Address]]:
         """Revision, whether it is whole, members and their addresses; raises one of UNREADABLE."""
         revision, whole = int(document["revision"]), bool(document["complete"])
         entries: list[Entry] = []
-        addresses: Addresses = {}
+        addresses: dict[bytes, Address] = {}
         for member in document["members"]:
             try:
                 entry = self._entry(member)
--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -8,9 +8,10 @@
 
 import httptools
 
-Address = tuple[str, int]
+from emberlatch.engine import Address
+from emberlatch.store import MAX_BODY
+
 MAX_HEAD = 16 * 1024  # bytes of a request's or an answer's head
-MAX_BODY = 64 * 1024  # and of its body
 REST = 0.3  # seconds in which an answer that has begun must be whole: what then lacks won't come
 
 
--- a/emberlatch/net/notices.py
+++ b/emberlatch/net/notices.py
@@ -6,10 +6,9 @@
 import json
 import logging
 from collections.abc import Callable
-from typing import Any
 
-from emberlatch.net.http import Address, BrokenError, Connection, connect
-from emberlatch.net.tasks import Tasks
+from emberlatch.engine import Address, Notice, Tasks
+from emberlatch.net.http import BrokenError, Connection, connect
 
 log = logging.getLogger(__name__)
 
@@ -23,7 +22,15 @@
 class Notices:
     """Owed notices by reference; `confirmed` is called with the references that a 204 covered."""
 
-    def __init__(self, platform: Address, confirmed: Callable[[list[int]], None], tasks: Tasks) -> None:
+    def __init__(
+        self,
+        platform: Address,
+        confirmed: Callable[[list[int]], None],
+        tasks: Tasks,
+        path: str = "/reports",
+        tells_deliveries: bool = False,
+    ) -> None:
+        self.tells_deliveries, self._path = tells_deliveries, path
         self._platform, self._confirmed = platform, confirmed
         self._owed: dict[int, bytes] = {}
         self._wake = asyncio.Event()
@@ -31,7 +38,7 @@
         self._tasks = tasks
         self._running = tasks.spawn(self._run())
 
-    def add(self, ref: int, notice: dict[str, Any]) -> None:
+    def add(self, ref: int, notice: Notice) -> None:
         """Send a notice as soon as possible."""
         self._owed[ref] = json.dumps(notice, separators=(",", ":")).encode() + b"\n"
         self._wake.set()
@@ -73,12 +80,12 @@
 
     async def _post(self, body: bytes, patience: float) -> int:
         """The status of the answer, or 0."""
-        head = "POST /reports HTTP/1.1\r\nHost: %s:%d\r\nContent-Length: %d\r\n\r\n"
+        head = "POST %s HTTP/1.1\r\nHost: %s:%d\r\nContent-Length: %d\r\n\r\n"
         try:
             async with asyncio.timeout(patience):
                 if self._connection is None or not self._connection.usable:
                     self._connection = await connect(self._platform, patience)
-                request = (head % (*self._platform, len(body))).encode() + body
+                request = (head % (self._path, *self._platform, len(body))).encode() + body
                 return (await self._connection.exchange(request)).status
         except (OSError, BrokenError) as error:
             log.info("notices not confirmed: %r", error)
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -11,8 +11,9 @@
 
 import httptools
 
-from emberlatch.net.http import MAX_BODY, MAX_HEAD, Address
-from emberlatch.net.tasks import Tasks
+from emberlatch.engine import Address, Tasks
+from emberlatch.net.http import MAX_HEAD
+from emberlatch.store import MAX_BODY
 
 log = logging.getLogger(__name__)
 
@@ -91,16 +92,22 @@
 class Server:
     """Listens for clients; `submit` gets each well-formed message with the place of its answer."""
 
-    def __init__(self, submit: Callable[[Request, Reply], None], most_clients: int, tasks: Tasks) -> None:
+    def __init__(
+        self,
+        address: Address,
+        submit: Callable[[Request, Reply], None],
+        most_clients: int,
+        tasks: Tasks,
+    ) -> None:
         self.submit, self.stopping = submit, False
-        self._most, self._tasks = most_clients, tasks
+        self._address, self._most, self._tasks = address, most_clients, tasks
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
         self._proven: dict[Client, None] = {}  # the longest unused first
         self._listener: socket.socket | None = None
 
-    def start(self, address: Address) -> None:
+    def start(self) -> None:
         """Begin to listen."""
-        self._listener = socket.create_server(address, backlog=512)
+        self._listener = socket.create_server(self._address, backlog=512)
         self._listener.setblocking(False)
         self._listen()
         asyncio.get_running_loop().call_later(SWEEP, self._sweep)
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -9,10 +9,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from emberlatch.interface import Entry, Outcome, Phase, Result, Settings
-from emberlatch.net.directory import Addresses
-from emberlatch.net.http import Address, BrokenError, Connection, Response, connect
-from emberlatch.net.tasks import Tasks
+from emberlatch.core.interface import Entry, Outcome, Phase, Result, Settings
+from emberlatch.engine import Address, Addresses, Item, Tasks
+from emberlatch.net.http import BrokenError, Connection, Response, connect
 
 log = logging.getLogger(__name__)
 
@@ -41,18 +40,6 @@
 """What an answer says of all messages of its call; any other status may follow work that ran."""
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
-    """One message of a call; `timeout` is how long its outcome is waited for."""
-
-    ref: int
-    attempt: int
-    id: str
-    key: str
-    body: bytes
-    timeout: float
-
-
 @dataclass(slots=True)
 class _Target:
     """What is known of a target that the list names, or that a call is still out to."""
--- /dev/null
+++ b/emberlatch/platform.py
@@ -0,0 +1,155 @@
+"""One forwarder on the platform: its configuration (EDGE_*) and the parts that serve it there."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from emberlatch.core import interface as api
+from emberlatch.engine import Address, Engine, Tasks
+from emberlatch.net.api import Api
+from emberlatch.net.directory import Directory
+from emberlatch.net.http import parse_address
+from emberlatch.net.notices import Notices
+from emberlatch.net.server import Server
+from emberlatch.net.targets import Targets
+from emberlatch.simlink import wire
+from emberlatch.store import Store
+
+log = logging.getLogger(__name__)
+
+MB = 1_000_000
+# Descriptors beside those of clients and calls: standard streams, the loop's own, the listener, the
+# journal's (two while it rolls), discovery and notices (two each while they move), files read, and
+# sockets accepted or closed in a turn of the loop that are not counted yet.
+RESERVED = 32
+CLIENTS_SHARE = 0.5  # of the others: calls get the rest
+
+
+class ConfigError(Exception):
+    """A setting is missing or bad; the text names it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What a forwarder is told at its start."""
+
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    most_clients: int
+    most_calls: int
+    journal_bytes: int
+    known: Mapping[str, Any]
+    raw_settings: Mapping[str, Any]
+    settings: api.Settings
+
+
+def _need(section: Mapping[str, Any], name: str, path: str = "") -> Any:
+    if name not in section:
+        raise ConfigError(f"{path}{name}: is missing")
+    return section[name]
+
+
+def _object(section: Mapping[str, Any], name: str) -> Mapping[str, Any]:
+    value = _need(section, name)
+    if not isinstance(value, Mapping):
+        raise ConfigError(f"{name}: must be an object")
+    return value
+
+
+def _address(section: Mapping[str, Any], name: str) -> Address:
+    try:
+        return parse_address(str(_need(section, name)))
+    except ValueError as error:
+        raise ConfigError(f"{name}: {error}") from error
+
+
+def _positive(section: Mapping[str, Any], name: str) -> float:
+    value = _need(section, name, "limits.")
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise ConfigError(f"limits.{name}: must be a number over 0")
+    return float(value)
+
+
+def read_config(environment: Mapping[str, str]) -> Config:
+    """Read the configuration file and the folder that the environment names."""
+    path, state = (_need(environment, name) for name in ("EDGE_CONFIG", "EDGE_STATE"))
+    if not os.access(state, os.W_OK | os.X_OK) or not Path(state).is_dir():
+        raise ConfigError(f"EDGE_STATE: {state!r} is not a folder that can be written")
+    try:
+        document = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {error}") from error
+    if not isinstance(document, dict):
+        raise ConfigError("EDGE_CONFIG: must hold a JSON object")
+    limits, settings = _object(document, "limits"), _object(document, "settings")
+    sockets = int(_positive(limits, "sockets")) - RESERVED
+    most_clients = int(sockets * CLIENTS_SHARE)
+    if most_clients < 1:
+        raise ConfigError(f"limits.sockets: must be over {RESERVED + 1}")
+    try:
+        seed = int(str(_need(document, "seed")), 16)
+    except ValueError as error:
+        raise ConfigError(f"seed: {error}") from error
+    try:
+        decoded = wire.decode_settings(json.dumps(settings).encode())
+    except wire.WireError as error:
+        raise ConfigError(str(error)) from error
+    return Config(
+        listen=_address(document, "listen"),
+        discovery=_address(document, "discovery"),
+        state=Path(state),
+        seed=seed,
+        most_clients=most_clients,
+        most_calls=sockets - most_clients,
+        journal_bytes=int(_positive(limits, "disk_mb") * MB),
+        known=_object(document, "known"),
+        raw_settings=settings,
+        settings=decoded,
+    )
+
+
+class Platform:
+    """The engine with the platform's front, carrier, membership and end."""
+
+    def __init__(self, config: Config) -> None:
+        """Raises ValueError if the journal's room is too small."""
+        self._discovery = config.discovery
+        tasks = Tasks()
+        self.store = Store(config.state, config.journal_bytes)
+        self.engine = engine = Engine(config.settings, config.seed, self.store, tasks)
+        self.server = Server(config.listen, Api(engine.submit), config.most_clients, tasks)
+        self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks)
+        self.notices = Notices(config.discovery, engine.confirmed, tasks)
+        self.directory = Directory(config.discovery, config.known, config.raw_settings, engine.listed, tasks)
+        engine.join([self.server], self.targets, self.directory, self.notices)
+
+    async def start(self) -> None:
+        """Go on with what the journal holds, then listen."""
+        await self.engine.start()
+
+    async def stop(self) -> None:
+        """End what can end in time and leave the rest to the journal."""
+        await self.engine.stop()
+
+    def check(self, config: Config) -> None:
+        """Look at the parts of a new configuration that are read at a start only; raises if one is bad."""
+        Store(config.state, config.journal_bytes)
+        self.directory.read(config.known)
+
+    def move(self, discovery: Address) -> None:
+        """Discovery, which also takes the notices, is at another address from now on."""
+        if discovery == self._discovery:
+            return
+        log.info("discovery moves to %s:%d", *discovery)
+        self._discovery = discovery
+        self.directory.move(discovery)
+        self.notices.move(discovery)
+        self.engine.moved()
--- /dev/null
+++ b/emberlatch/simlink/__init__.py
@@ -0,0 +1,1 @@
+"""The decision module on the simulator's wire: its encoding, and the process that hosts instances."""
--- a/emberlatch/benchlink.py
+++ b/emberlatch/simlink/adapter.py
@@ -6,9 +6,9 @@
 import sys
 from typing import BinaryIO
 
-from emberlatch import wire
-from emberlatch.interface import Action, Event
-from emberlatch.rules import Forwarder
+from emberlatch.core.interface import Action, Event
+from emberlatch.core.rules import Forwarder
+from emberlatch.simlink import wire
 
 _LENGTH = struct.Struct("<I")
 
@@ -84,7 +84,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"emberlatch.benchlink: {error}", file=sys.stderr)
+        print(f"emberlatch.simlink.adapter: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/emberlatch/wire.py
+++ b/emberlatch/simlink/wire.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from emberlatch import interface as api
+from emberlatch.core import interface as api
 
 HEADER = struct.Struct("<IId")
 REPLY_HEADER = struct.Struct("<II")
--- a/emberlatch/net/store.py
+++ b/emberlatch/store/journal.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from emberlatch.net.http import MAX_BODY
+MAX_BODY = 64 * 1024  # bytes of a message's body
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,11 +15,11 @@
 
 import pytest
 
-from emberlatch.__main__ import read_config
-from emberlatch.interface import Arrival
+from emberlatch.core.interface import Arrival
 from emberlatch.net import server as server_module
-from emberlatch.net.node import Node
-from emberlatch.net.store import Entry, Store
+from emberlatch.platform import Platform as Node
+from emberlatch.platform import read_config
+from emberlatch.store import Entry, Store
 from tests.peers import (
     Exchange,
     Handler,
@@ -193,9 +193,9 @@
     async def test() -> None:
         async with node(tmp_path, silence, disk_mb=1) as (port, _, _, under_test):
             room = iter([True, True, False])
-            under_test._store.has_room = lambda size: next(room)  # type: ignore[method-assign]
+            under_test.store.has_room = lambda size: next(room)  # type: ignore[method-assign]
             assert await pipeline(port, ["a", "b", "c"], 1) == ["202", "202", "503"]
-            assert [entry.id for entry in under_test._held.values()] == ["a", "b"]
+            assert [entry.id for entry in under_test.engine._held.values()] == ["a", "b"]
 
     run(test)
 
@@ -203,7 +203,7 @@
 def test_a_decision_that_fails_costs_one_message(tmp_path: Path) -> None:
     async def test() -> None:
         async with node(tmp_path, accept) as (port, target, _, under_test):
-            arrive = under_test._forwarder.handlers[Arrival]
+            arrive = under_test.engine._forwarder.handlers[Arrival]
             seen: list[Arrival] = []
 
             def fail_on_second(event: Arrival) -> None:
@@ -212,7 +212,7 @@
                     raise RuntimeError("a defect of the module")
                 arrive(event)
 
-            under_test._forwarder.handlers[Arrival] = fail_on_second
+            under_test.engine._forwarder.handlers[Arrival] = fail_on_second
             assert await pipeline(port, ["a", "b", "c"], 1) == ["202", "500", "202"]
             assert {(await target.next()).headers["x-request-id"] for _ in "ac"} == {"a", "c"}
 
@@ -246,7 +246,7 @@
         async with node(tmp_path, handle, flavor="wallet-operator") as (port, target, _, under_test):
             assert await hand_in(port, "m0") == 202
             await target.next()
-            while under_test._held:
+            while under_test.engine._held:
                 await asyncio.sleep(0.01)
             # One write with three requests is one loop turn, so it makes one call.
             assert await pipeline(port, ["a", "b", "c"], 1) == ["202"] * 3
@@ -346,9 +346,9 @@
         async with Peer(accept) as other, node(tmp_path, accept) as (port, target, platform, under_test):
             await platform_watched(platform)
             platform.members = [member(other.address, "s-2")]  # what was listed before is gone
-            under_test._directory.look_up()
+            under_test.directory.look_up()
             await platform_watched(platform)
-            while b"s-2" not in under_test._targets._targets:
+            while b"s-2" not in under_test.targets._targets:
                 await asyncio.sleep(0.01)
             assert await hand_in(port) == 202
             assert (await other.next()).headers["x-request-id"] == "m1"
@@ -367,7 +367,7 @@
                 raise OSError(28, "No space left on device")
 
             with monkeypatch.context() as patch:
-                patch.setattr("emberlatch.net.store.os.write", full)
+                patch.setattr("emberlatch.store.journal.os.write", full)
                 assert await hand_in(port, "m1") == 503
                 assert target.seen.empty()
             assert await hand_in(port, "m2") == 202
@@ -429,7 +429,7 @@
                 assert got == [*statuses, status]
                 assert await reader.read() == b""
                 writer.close()
-            assert not under_test._held
+            assert not under_test.engine._held
 
     run(test)
 
@@ -448,7 +448,7 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(head("Content-Length: 0\r\n", **changes))
             assert (await read_message(reader))[0].split()[1] == "400"
-            assert not under_test._held
+            assert not under_test.engine._held
             writer.close()
 
     run(test)
@@ -463,7 +463,7 @@
             writer.write(b"".join(head(one.decode(), X_Request_ID=name) for name in names))
             statuses = [line.split()[1] for line in (await reader.read()).split(b"\r\n") if b"HTTP" in line]
             assert statuses == [b"202"] * server_module.PIPELINED + [b"429"]
-            assert len(under_test._held) == server_module.PIPELINED
+            assert len(under_test.engine._held) == server_module.PIPELINED
             writer.close()
 
     run(test)
@@ -481,7 +481,7 @@
                 with pytest.raises(ConnectionError):
                     while True:  # in the end nothing of it is taken, and then the connection breaks
                         await loop.sock_sendall(client, b"GET /none HTTP/1.1\r\n\r\n")
-            assert not under_test._server.has_clients
+            assert not under_test.server.has_clients
 
     run(test)
 
@@ -539,20 +539,24 @@
                 await platform_watched(platform)
                 name = f"s-{n}"
                 platform.change([member(target.address, name)])
-                while name.encode() not in under_test._targets._targets:
+                while name.encode() not in under_test.targets._targets:
                     await asyncio.sleep(0.001)
                 keyed = {"X_Priority_Class": "payout", "Idempotency_Key": f"key-{n}"}
                 assert await hand_in(port, f"m{n}", **keyed) == 202
                 await target.next()
-            module = under_test._forwarder
-            while under_test._held or module.calls or under_test._targets.out:
+            module = under_test.engine._forwarder
+            while under_test.engine._held or module.calls or under_test.targets.out:
                 await asyncio.sleep(0.01)
-            assert len(under_test._targets._targets) == len(module.endpoints) == 1
-            assert len(under_test._targets._used) <= 1
+            assert len(under_test.targets._targets) == len(module.endpoints) == 1
+            assert len(under_test.targets._used) <= 1
             assert [len(pool.routes) for pool in module.pools.values()] == [1]
-            for rest in (module.open, module.lines._refs, module.lines._out, under_test._ids):
+            for rest in (module.open, module.lines._refs, module.lines._out, under_test.engine._ids):
                 assert not rest
-            assert not under_test._ended and not under_test._arriving and not under_test._arriving_ids
+            assert (
+                not under_test.engine._ended
+                and not under_test.engine._arriving
+                and not under_test.engine._arriving_ids
+            )
 
     run(test)
 
@@ -586,7 +590,7 @@
         store.close()
         async with node(tmp_path, accept) as (_, _, platform, under_test):
             assert await platform.notice() == {"ref": "m1", "result": "dead"}
-            while under_test._ended:
+            while under_test.engine._ended:
                 await asyncio.sleep(0.01)
 
     run(test)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,12 +15,12 @@
 from hypothesis import strategies as st
 
 from emberlatch import Forwarder
-from emberlatch import interface as api
-from emberlatch.interface import Result
-from emberlatch.records import Bucket
+from emberlatch.core import interface as api
+from emberlatch.core.interface import Result
+from emberlatch.core.records import Bucket
 from tests.world import CATEGORIES, Try, World, make_settings
 
-RULES = Path(__file__).parents[1] / "emberlatch" / "rules.py"
+RULES = Path(__file__).parents[1] / "emberlatch" / "core" / "rules.py"
 FATES: list[Result | None] = [
     Result.OK, Result.ERROR, Result.FULL, Result.CONNECT_FAILED, Result.RESET, None,
 ]  # fmt: skip
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from emberlatch.net.store import Doubt, Entry, Store
+from emberlatch.store import Doubt, Entry, Store
 
 
 def entry(ref: int, size: int = 10) -> Entry:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -9,11 +9,12 @@
 
 import pytest
 
-from emberlatch import wire
-from emberlatch.interface import Entry, Outcome, Phase, Result
-from emberlatch.net.http import REST, Address, Connection, connect, parse_address
-from emberlatch.net.targets import Item, Targets
-from emberlatch.net.tasks import Tasks
+from emberlatch.core.interface import Entry, Outcome, Phase, Result
+from emberlatch.engine import Address, Item
+from emberlatch.engine.tasks import Tasks
+from emberlatch.net.http import REST, Connection, connect, parse_address
+from emberlatch.net.targets import Targets
+from emberlatch.simlink import wire
 from tests.peers import SETTINGS, Exchange, Handler, Peer, accept, free_port, respond, silence
 
 TARGET = b"s-1"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,7 +12,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from emberlatch import Forwarder, benchlink, interface, wire
+from emberlatch import Forwarder
+from emberlatch.core import interface
+from emberlatch.simlink import adapter, wire
 
 CLOCK = "508d976e12d32040"
 REF = int.from_bytes(bytes.fromhex("c4913a5d77d10c00"), "little")
@@ -157,7 +159,7 @@
 
 def serve(data: bytes) -> bytes:
     sink = io.BytesIO()
-    benchlink.serve(io.BytesIO(data), sink)
+    adapter.serve(io.BytesIO(data), sink)
     return sink.getvalue()
 
 
@@ -190,7 +192,7 @@
 def test_malformed_input_ends_with_a_plain_message(name: str) -> None:
     data, message = BAD[name]
     done = subprocess.run(
-        [sys.executable, "-m", "emberlatch.benchlink"],
+        [sys.executable, "-m", "emberlatch.simlink.adapter"],
         input=data,
         capture_output=True,
         timeout=30,
--- a/tests/world.py
+++ b/tests/world.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 
 from emberlatch import Forwarder
-from emberlatch import interface as api
-from emberlatch.interface import Effect, Result, Scope
+from emberlatch.core import interface as api
+from emberlatch.core.interface import Effect, Result, Scope
 
 MAY_HAVE_RUN = {Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED, Result.OK}
 MAY_REST = {Result.TIMEOUT, Result.RESET, Result.CANCELLED}
