--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,7 +20,8 @@
 from emberlatch.core.records import Bucket
 from tests.world import CATEGORIES, Try, World, make_settings
 
-RULES = Path(__file__).parents[1] / "emberlatch" / "core" / "rules.py"
+ROOT = Path(__file__).parents[1]
+RULES = ROOT / "emberlatch" / "core" / "rules.py"
 FATES: list[Result | None] = [
     Result.OK, Result.ERROR, Result.FULL, Result.CONNECT_FAILED, Result.RESET, None,
 ]  # fmt: skip
@@ -79,7 +80,7 @@
             capture_output=True,
             text=True,
             check=True,
-            cwd=RULES.parents[1],
+            cwd=ROOT,
         ).stdout
         for chosen in (hash_seed, "99")
     ]
@@ -459,7 +460,7 @@
 
 
 def test_the_readme_example_runs() -> None:
-    readme = (RULES.parents[1] / "README.md").read_text()
+    readme = (ROOT / "README.md").read_text()
     match = re.search(r"```python\n(.*?)```", readme, re.S)
     assert match
     scope: dict[str, object] = {}
