A list that changes by one entry costs one entry; new endpoints can be told cold

Seen in the code: rules.py _forget walked all endpoints and all pools, and targets.py update all targets, at each update, whatever it changed. Change: what is gone, and destinations without a route, are kept apart, and only these are looked at. Entry.cold ramps a new route as one that returns; a limit, a batch size or a fee that the list changes counts at once. Tests: tables that raise when they are walked; waits outlast removal; a cold endpoint stays in its budget.

--- a/emberlatch/core/interface.py
+++ b/emberlatch/core/interface.py
@@ -190,7 +190,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """An endpoint as the directory lists it."""
+    """An endpoint as the directory lists it; `cold` says that it is known to be new, and is to be ramped."""
 
     target: Target
     destination: int
@@ -199,6 +199,7 @@
     zone: int = 0
     added_at: float = 0.0
     weight: float = 1.0
+    cold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -50,6 +50,8 @@
         self.touched, self.short = dict[int, Pool](), dict[int, Pool]()  # concerned now; in want of a slot
         self.agenda = Agenda()  # when each destination needs a look though nothing is heard of it
         self.endpoints: dict[api.Target, Endpoint] = {}
+        self.leaving: dict[api.Target, Endpoint] = {}  # gone, but something binds them still
+        self.bare: set[int] = set()  # destinations that may have a pool and no route
         self.open: dict[int, Message] = {}
         self.calls: dict[tuple[int, int], Call] = {}
         self.joined: dict[api.Target, Call] = {}  # calls of the present reply: they take more messages
@@ -91,7 +93,11 @@
 
     def _touch(self, destination: int) -> Pool:
         """The pool of a destination, which is looked at before this reply ends."""
-        pool = self.touched[destination] = self.pools.setdefault(destination, Pool())
+        pool = self.pools.get(destination)
+        if pool is None:
+            pool = self.pools[destination] = Pool()
+            self.bare.add(destination)
+        self.touched[destination] = pool
         return pool
 
     def _plan(self, destination: int, pool: Pool) -> None:
@@ -468,33 +474,43 @@
         whole = event.kind in (ListKind.CACHED, ListKind.FULL)
         for endpoint in self.endpoints.values() if whole else ():
             endpoint.ready, endpoint.gone = False, True
+            self.leaving[endpoint.entry.target] = endpoint
         for entry in event.entries:
             known = self.endpoints.get(entry.target)
             if known is None and entry.phase is Phase.GONE:
                 continue
             known = known or self._add(entry)
-            known.entry, known.ready = entry, entry.phase is Phase.READY
-            known.gone = entry.phase is Phase.GONE
+            if entry != known.entry:
+                self._describe(known, entry)
+            known.ready, known.gone = entry.phase is Phase.READY, entry.phase is Phase.GONE
+            self.leaving.pop(entry.target, None)
+            if known.gone:
+                self.leaving[entry.target] = known
             self._touch(entry.destination)
         self._forget()
 
     def _forget(self) -> None:
         """What is gone has no part in its pool, in demand, health or limits; calls there hold what they need.
 
-        A wait that was told binds to its end, also if the target is listed again before.
+        A wait that was told binds to its end, also if the target is listed again before. Only what left
+        is looked at: a list of many thousands must not be walked for a change of one entry.
         """
-        for target, endpoint in list(self.endpoints.items()):
-            route = endpoint.route
-            if endpoint.gone and self.now >= route.blocked_until:
-                del self.endpoints[target]
-                self._touch(endpoint.entry.destination)
+        for target, endpoint in list(self.leaving.items()):
+            route, destination = endpoint.route, endpoint.entry.destination
+            if self.now >= route.blocked_until:
+                del self.endpoints[target], self.leaving[target]
+                self._touch(destination)
                 route.endpoints.remove(endpoint)
                 if not route.endpoints:
                     route.pool.routes.remove(route)
-        for destination, pool in list(self.pools.items()):
-            used = pool.routes or pool.waiting or pool.leases
-            if not used and pool.demand.at(self.now, MEMORY) * MEMORY < FORGOTTEN:
+                    self.bare.add(destination)
+        for destination in list(self.bare):
+            pool = self.pools[destination]
+            if pool.routes:
+                self.bare.remove(destination)
+            elif not (pool.waiting or pool.leases) and pool.demand.at(self.now, MEMORY) * MEMORY < FORGOTTEN:
                 del self.pools[destination]
+                self.bare.remove(destination)
                 self.touched.pop(destination, None)
                 self.short.pop(destination, None)
                 self.agenda.drop(destination)
@@ -505,13 +521,24 @@
             self.ask_at, self.ask_backoff = self.now, 0.5
 
     def _add(self, entry: api.Entry) -> Endpoint:
-        settings, kind = self.settings, entry.kind
-        separate = any(settings.separate_routes[kind : kind + 1])
+        separate = any(self.settings.separate_routes[entry.kind : entry.kind + 1])
         endpoint = self.endpoints[entry.target] = self._touch(entry.destination).add(entry, separate)
+        self._describe(endpoint, entry)
+        endpoint.route.limit = entry.weight * TRUSTED[self.settings.weights]
+        if entry.cold and endpoint.route.endpoints == [endpoint]:  # a route in use stays as it is
+            endpoint.route.ramp_until = self.now + self.rules.cold
+            endpoint.route.next_trial = self._next_cold(endpoint.route)
+        return endpoint
+
+    def _describe(self, endpoint: Endpoint, entry: api.Entry) -> None:
+        """Take what the list says of it, also where that has changed since it was added."""
+        settings, kind, trusted = self.settings, entry.kind, TRUSTED[self.settings.weights]
+        if trusted and entry.weight != endpoint.entry.weight:
+            endpoint.route.limit, endpoint.route.pace = entry.weight * trusted, math.inf
+        endpoint.entry = entry
         endpoint.per_call = max(settings.per_call[kind : kind + 1], default=1)
+        separate = any(settings.separate_routes[kind : kind + 1])
         endpoint.fee = sum(settings.zone_fees[entry.zone : entry.zone + 1]) if separate else 0.0
-        endpoint.route.limit = entry.weight * TRUSTED[settings.weights]
-        return endpoint
 
     def _set_timer(self) -> None:
         if self.now >= self.ask_at:
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -60,6 +60,7 @@
     ) -> None:
         self._settings, self._most, self._report, self._tasks = settings, most, report, tasks
         self._targets: dict[bytes, _Target] = {}
+        self._leaving: set[bytes] = set()  # gone, with a call out still
         self._waits: dict[bytes | int, float] = {}  # told waits, by what they bind: a target or a destination
         self._used: dict[Connection, _Target] = {}  # the idle ones, the longest unused first
         self._out = 0
@@ -80,12 +81,16 @@
                 self.close_idle(entry.target)
             target.entry, target.address = entry, address
             target.gone = entry.phase is Phase.GONE
+            self._leaving.discard(entry.target)
+            if target.gone:
+                self._leaving.add(entry.target)
             ready = entry.phase is Phase.READY
             target.shut_from = math.inf if ready else min(target.shut_from, shut_from)
         for name in self._targets.keys() - addresses.keys() if whole else ():
             target = self._targets[name]
             target.gone, target.shut_from = True, min(target.shut_from, shut_from)
-        for name in [name for name, target in self._targets.items() if target.gone]:
+            self._leaving.add(name)
+        for name in list(self._leaving):
             self._forget(name)
         self._waits = {bound: until for bound, until in self._waits.items() if until > now}
 
@@ -95,6 +100,7 @@
         if target.gone and not target.out:
             self.close_idle(name)
             del self._targets[name]
+            self._leaving.discard(name)
 
     def entry(self, target: bytes) -> Entry | None:
         """What the list says of a target, unless it is gone."""
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,118 @@
+"""What a list that changes entry by entry costs, and what it says of new and changed endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+from typing import Any
+
+from emberlatch import Forwarder
+from emberlatch.core import interface as api
+from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Phase, Result
+
+SAFE = api.Category("note", api.Effect.SAFE, aim=3.0, deadline=24.0)
+RULES = api.Rules(drain_grace=0.5, fall_multiple=1.5, tip_after=3.0, cold=13.0, cold_from=0.27)
+
+
+def forwarder(**changes: Any) -> Forwarder:
+    values: dict[str, Any] = {"categories": (SAFE,), "slots": 8, "open_cap": 200, "rules": RULES}
+    return Forwarder(api.Settings(**(values | {"separate_routes": (True,)} | changes)), seed=1)
+
+
+def listed(*entries: Entry, kind: ListKind = ListKind.DELTA) -> DirectoryUpdate:
+    return DirectoryUpdate(kind, 1, entries)
+
+
+def sends(actions: list[api.Action]) -> list[api.Send]:
+    return [action for action in actions if isinstance(action, api.Send)]
+
+
+class Unwalked(dict[Any, Any]):
+    """A table that may be asked for one entry, and not be walked."""
+
+    def __iter__(self) -> Iterator[Any]:
+        raise AssertionError("walked")
+
+    def items(self) -> Any:
+        raise AssertionError("walked")
+
+    def values(self) -> Any:
+        raise AssertionError("walked")
+
+
+def test_a_change_of_one_entry_looks_at_no_other() -> None:
+    module = forwarder()
+    entries = [Entry(b"t%d" % n, n // 2) for n in range(1000)]
+    module.handle(0.0, [listed(*entries, kind=ListKind.CACHED)])
+    module.endpoints, module.pools = Unwalked(module.endpoints), Unwalked(module.pools)
+    gone = replace(entries[0], phase=Phase.GONE)
+    module.handle(1.0, [listed(gone, Entry(b"new", 9000))])
+    assert not (b"t0" in module.endpoints or module.leaving) and b"new" in module.endpoints
+    module.handle(2.0, [listed(replace(entries[1], phase=Phase.GONE))])
+    assert 0 not in module.pools and len(module.pools) == 500
+
+
+def test_what_left_under_a_wait_is_kept_until_its_end_and_then_forgotten() -> None:
+    module = forwarder()
+    entry = Entry(b"t", 7)
+    module.handle(0.0, [listed(entry, kind=ListKind.CACHED), api.Arrival(1, 0, 7, 24.0)])
+    module.handle(0.1, [api.Outcome(1, 0, b"t", Result.FULL, 0.1, hold=2.0), api.ClientGone(1)])
+    module.handle(0.2, [listed(replace(entry, phase=Phase.GONE))])
+    assert b"t" in module.endpoints
+    module.handle(0.3, [listed(entry)])  # listed again: the wait binds
+    assert module.endpoints[b"t"].route.blocked_until >= 2.1 and not module.leaving
+    module.handle(0.4, [listed(replace(entry, phase=Phase.GONE))])
+    module.handle(400.0, [listed()])
+    assert not (module.endpoints or module.leaving or module.pools or module.bare)
+
+
+def test_a_destination_without_endpoints_whose_message_ended_is_forgotten() -> None:
+    module = forwarder()
+    module.handle(0.0, [api.Arrival(1, 0, 7, 24.0)])
+    assert 7 in module.pools
+    module.handle(0.1, [api.ClientGone(1)])
+    module.handle(400.0, [listed()])
+    assert not (module.pools or module.bare)
+
+
+def test_an_endpoint_told_to_be_cold_is_ramped_and_one_that_was_there_is_not() -> None:
+    """Ten messages a second: the cold one gets no more than the budget of a return."""
+    counts = {}
+    for cold in (False, True):
+        module = forwarder()
+        module.handle(0.0, [listed(Entry(b"t", 7, cold=cold))])
+        sent, ref = 0, 0
+        for tick in range(300):  # three seconds
+            now = tick / 100
+            events: list[api.Event] = [api.TimerFired(0)]
+            if tick % 10 == 0:
+                ref += 1
+                events.append(api.Arrival(ref, 0, 7, 24.0))
+            for send in sends(module.handle(now, events)):
+                sent += 1
+                module.handle(now, [api.Outcome(send.ref, 0, b"t", Result.OK, 0.05, closed=True)])
+        counts[cold] = sent
+    assert counts[False] == 30
+    assert 0 < counts[True] < 15
+
+
+def test_a_cold_endpoint_on_a_route_in_use_leaves_the_route_as_it_is() -> None:
+    module = forwarder(separate_routes=(False,))
+    module.handle(0.0, [listed(Entry(b"t", 7))])
+    module.handle(1.0, [listed(Entry(b"u", 7, cold=True))])
+    assert module.endpoints[b"u"].route is module.endpoints[b"t"].route
+    assert module.endpoints[b"u"].route.ramp_until < 1.0
+
+
+def test_a_changed_limit_counts_at_once_where_lists_are_trusted() -> None:
+    module = forwarder(weights=api.Weights.NOMINAL)
+    entry = Entry(b"t", 7, weight=5.0)
+    module.handle(0.0, [listed(entry)])
+    assert module.endpoints[b"t"].route.limit == 5.0
+    module.handle(1.0, [listed(replace(entry, weight=2.0))])
+    assert module.endpoints[b"t"].route.limit == 2.0
+    learnt = forwarder(weights=api.Weights.OFF, report_fields=("x0", "x1"))
+    learnt.handle(0.0, [listed(entry), api.Arrival(1, 0, 7, 24.0)])
+    learnt.handle(0.1, [api.Outcome(1, 0, b"t", Result.OK, 0.1, closed=True, report=(0.5, 9.0))])
+    learnt.handle(1.0, [listed(replace(entry, weight=2.0))])
+    assert learnt.endpoints[b"t"].route.limit == 9.0  # a weight that means nothing unlearns nothing
