Inventories in CSV and YAML, and a configuration file, checked as a whole with every line

Need: partners' endpoints are listed by staff in spreadsheets and YAML files. A bad row must be named and must not drop a partner; a file that is half saved must not be taken. Change: emberlatch/inventory reads CSV and YAML into one set or into all problems by file:line; what is between the sockets and the files (fields, groups, checks over the whole, diff, settling) is pure; one reader does I/O.

--- /dev/null
+++ b/emberlatch/inventory/changes.py
@@ -0,0 +1,73 @@
+"""What changes in effect between two inventories: not where and in what order things are written."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, fields
+
+from emberlatch.inventory.model import Endpoint, Inventory
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """An endpoint before and after; one of the two is None where it was added or removed."""
+
+    before: Endpoint | None
+    after: Endpoint | None
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The endpoint as it is now, or was last."""
+        endpoint = self.after or self.before
+        assert endpoint is not None
+        return endpoint
+
+    @property
+    def fields(self) -> list[str]:
+        """The names of the fields that differ, where it is in both."""
+        if self.before is None or self.after is None:
+            return []
+        return [
+            f.name for f in fields(Endpoint) if getattr(self.before, f.name) != getattr(self.after, f.name)
+        ]
+
+    def __str__(self) -> str:
+        before, after, name = self.before, self.after, f"{self.endpoint.id} ({self.endpoint.partner})"
+        if before is None:
+            return f"+ {name}: added in {self.endpoint.wing} at {self.endpoint.host_port}, cold"
+        if after is None:
+            return f"- {name}: removed from {before.wing}"
+        return f"~ {name}: " + ", ".join(self._told(field) for field in self.fields)
+
+    def _told(self, field: str) -> str:
+        before, after = self.before, self.after
+        assert before is not None and after is not None
+        match field:
+            case "draining":
+                return "drains" if after.draining else "serves again"
+            case "address":
+                return f"moves from {before.host_port} to {after.host_port}"
+            case "limit":
+                return f"limit {before.limit or 'none'} -> {after.limit or 'none'}"
+            case "tags":
+                return f"tags {' '.join(before.tags) or 'none'} -> {' '.join(after.tags) or 'none'}"
+            case _:
+                return f"{field} {getattr(before, field)} -> {getattr(after, field)}"
+
+
+def diff(old: Inventory, new: Inventory) -> list[Change]:
+    """The changes that lead from one set to the other, by id.
+
+    An endpoint that changed its wing or its destination leaves, and comes as another.
+    """
+    return sorted(_changes(old, new), key=lambda change: (change.endpoint.id, change.after is not None))
+
+
+def _changes(old: Inventory, new: Inventory) -> Iterator[Change]:
+    for target, before in old.endpoints.items():
+        after = new.endpoints.get(target)
+        if before != after:
+            yield Change(before, after)
+    for target, after in new.endpoints.items():
+        if target not in old.endpoints:
+            yield Change(None, after)
--- /dev/null
+++ b/emberlatch/inventory/yamltree.py
@@ -0,0 +1,157 @@
+"""YAML as a tree of plain nodes with lines, without anything that another reader could take otherwise.
+
+PyYAML's parser gives events; they are put together here and not by its loader, which resolves by
+YAML 1.1 (`no` is false there), follows aliases, and keeps the last of two equal keys.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import yaml
+
+DEEPEST = 32
+_TRAPS = (
+    (re.compile(r"(?i)y|yes|n|no|on|off|true|false"), "is a boolean to YAML readers"),
+    (re.compile(r"(?i)null|~|"), "is null to YAML readers"),
+    (
+        re.compile(r"(?i)[-+]?(0[0-7_]+|0o[0-7_]+|0x[0-9a-f_]+|0b[01_]+)"),
+        "is octal, hexadecimal or binary to YAML readers",
+    ),
+    (re.compile(r"[-+]?[0-9][0-9_]*(:[0-5]?[0-9])+(\.[0-9_]*)?"), "is a number in base 60 to YAML readers"),
+    (
+        re.compile(r"(?i)[-+]?(\.inf|\.nan|[0-9][0-9_]*(\.[0-9_]*)?e[-+]?[0-9]+|\.[0-9_]+(e[-+]?[0-9]+)?)"),
+        "is a float to YAML readers",
+    ),
+    (re.compile(r"[0-9]{4}-[0-9]{1,2}-[0-9]{1,2}([Tt ].*)?"), "is a date to YAML readers"),
+)
+_NUMBER = re.compile(r"[-+]?[0-9][0-9_]*(\.[0-9_]*)?")
+
+Report = Callable[[int, str, str], None]
+"""Gets a line, what is wrong there, and what would be right."""
+
+
+@dataclass(slots=True)
+class Scalar:
+    """A word; `plain` if it stands without quotes."""
+
+    text: str
+    plain: bool
+    line: int
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing was written."""
+        return self.plain and self.text in ("", "~", "null")
+
+    def trap(self, numbers: bool) -> str:
+        """Why another reader could take it for something else than this text, or nothing.
+
+        Plain numbers are no trap where a number is meant.
+        """
+        if not self.plain:
+            return ""
+        for pattern, why in _TRAPS:
+            if pattern.fullmatch(self.text):
+                return why
+        return "is a number to YAML readers" if not numbers and _NUMBER.fullmatch(self.text) else ""
+
+
+@dataclass(slots=True)
+class Mapping:
+    """Keys and values in their order; no key stands twice."""
+
+    line: int
+    items: dict[str, tuple[Scalar, Node]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Sequence:
+    """A list."""
+
+    line: int
+    items: list[Node] = field(default_factory=list)
+
+
+Node = Scalar | Mapping | Sequence
+
+
+class _Stop(Exception):
+    """Nothing behind this place can be understood."""
+
+
+class _Composer:
+    def __init__(self, events: Iterator[yaml.Event], report: Report) -> None:
+        self._events, self._report = events, report
+
+    def document(self) -> Node | None:
+        """The one document; None if there is none."""
+        for event in self._events:
+            if isinstance(event, yaml.DocumentStartEvent):
+                root = self._node(next(self._events), 0)
+                for after in self._events:
+                    if isinstance(after, yaml.DocumentStartEvent):
+                        self._report(_line(after), "a second document begins", "one document a file")
+                        raise _Stop
+                return root
+        return None
+
+    def _node(self, event: yaml.Event, depth: int) -> Node:
+        line = _line(event)
+        if depth > DEEPEST:
+            self._report(line, f"is nested over {DEEPEST} levels deep", "fewer levels")
+            raise _Stop
+        if isinstance(event, yaml.AliasEvent):
+            self._report(line, "an alias (*) is not taken", "write the value, or give it in a group's vars")
+            return Scalar("?", False, line)
+        if getattr(event, "anchor", None) is not None:
+            self._report(line, "an anchor (&) is not taken", "write the value, or give it in a group's vars")
+        if (tag := getattr(event, "tag", None)) is not None:
+            self._report(line, f"a tag ({tag}) is not taken", "plain values")
+        if isinstance(event, yaml.MappingStartEvent):
+            return self._mapping(line, depth)
+        if isinstance(event, yaml.SequenceStartEvent):
+            items = []
+            while not isinstance(inner := next(self._events), yaml.SequenceEndEvent):
+                items.append(self._node(inner, depth + 1))
+            return Sequence(line, items)
+        assert isinstance(event, yaml.ScalarEvent)
+        return Scalar(event.value, not event.style, line)  # none, or empty from the C parser
+
+    def _mapping(self, line: int, depth: int) -> Mapping:
+        mapping = Mapping(line)
+        while not isinstance(event := next(self._events), yaml.MappingEndEvent):
+            key = self._node(event, depth + 1)
+            value = self._node(next(self._events), depth + 1)
+            if not isinstance(key, Scalar):
+                self._report(key.line, "a key must be a word", "name: value")
+            elif key.plain and key.text == "<<":
+                self._report(key.line, "a merge (<<) is not taken", "give the values in a group's vars")
+            elif key.text in mapping.items:
+                first = mapping.items[key.text][0].line
+                self._report(key.line, f"{key.text[:40]!r} stands twice, first in line {first}", "once")
+            else:
+                mapping.items[key.text] = key, value
+        return mapping
+
+
+def _line(event: yaml.Event) -> int:
+    return event.start_mark.line + 1 if event.start_mark is not None else 1
+
+
+def compose(text: str, report: Report) -> Node | None:
+    """The tree of a text; None if it holds nothing, or nothing that can be read."""
+    loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)  # the C parser is optional, and gives the same
+    try:
+        return _Composer(yaml.parse(text, Loader=loader), report).document()
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        line = mark.line + 1 if mark is not None else 1
+        report(line, f"cannot be read: {error.problem or error.context}", "")
+    except (yaml.YAMLError, StopIteration) as error:
+        report(1, f"cannot be read: {error}", "")
+    except _Stop:
+        pass
+    return None
--- /dev/null
+++ b/tests/config/test_config.py
@@ -0,0 +1,98 @@
+"""The configuration file: all faults at once, by line, and what the decision module is told."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from emberlatch.config import ConfigProblems, load, parse, settings
+from emberlatch.core.interface import Effect, Scope, Weights
+from tests.peers import ROOT
+
+LEAST = '[inventory]\npaths = ["x"]\n'
+
+
+def faults(text: str | bytes) -> list[str]:
+    with pytest.raises(ConfigProblems) as refused:
+        parse(text if isinstance(text, bytes) else text.encode(), "g.toml")
+    return [str(problem) for problem in refused.value.problems]
+
+
+def test_all_but_the_inventory_has_a_default() -> None:
+    config = parse(LEAST.encode(), "g.toml")
+    told = settings(config)
+    assert (config.listen_address, config.inventory.settle) == (("127.0.0.1", 8080), 2.0)
+    assert [(c.name, c.effect, c.aim, c.window) for c in told.categories] == [
+        ("payout", Effect.KEYED, 4.0, 25.0),
+        ("status-update", Effect.SAFE, 3.0, 0.0),
+    ]
+    assert told.per_call == (10, 1) and told.weights is Weights.NOMINAL and not told.must_ask
+
+
+def test_what_is_set_reaches_the_module() -> None:
+    text = """
+    wings = {north = {}, south = {fee = 0.5}}
+    INVENTORY
+    [kinds.bank]
+    batch = 4
+    routes = "shared"
+    [classes.order]
+    effect = "keyed"
+    aim = "1.5s"
+    deadline = "2min"
+    window = "500ms"
+    scope = "endpoint"
+    [tenants]
+    pensions = {rate = 3.5}
+    [rules]
+    drain_grace = "250ms"
+    [limits]
+    journal = "64KB"
+    """
+    told = faults(text.replace("INVENTORY", LEAST))
+    assert told == ["g.toml:20: limits.journal: Input should be greater than or equal to 1000000"]
+    config = parse(text.replace("64KB", "64MiB").replace("INVENTORY", LEAST).encode(), "g.toml")
+    made = settings(config)
+    (category,) = made.categories
+    assert (category.aim, category.deadline, category.window, category.scope) == (1.5, 120.0, 0.5, Scope.CELL)
+    assert (made.zone_fees, made.separate_routes, made.per_call) == ((0.0, 0.5), (False,), (4,))
+    assert (made.tenants[0].allowance, made.rules.drain_grace) == (3.5, 0.25)
+    assert config.limits.journal == 64 * 2**20
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("listn = 1\n" + LEAST, "g.toml:1: listn: is not known; did you mean 'listen'?"),
+        (LEAST + "settel = '2s'\n", "g.toml:3: inventory.settel: is not known; did you mean 'settle'?"),
+        (LEAST + "settle = 2\n", "g.toml:3: inventory.settle: must be a number with a unit (ms, s, min, h) in quotes, like '500ms'"),
+        (LEAST + "settle = '2 weeks'\n", "g.toml:3: inventory.settle: must be a number with a unit (ms, s, min, h) in quotes, like '500ms'"),
+        ("", "g.toml: inventory: is missing"),
+        ("listen = 'x'\n" + LEAST, "g.toml:1: listen: must be host:port, like 127.0.0.1:8080"),
+        ("reports = 'ftp://x'\n" + LEAST, "g.toml:1: reports: must be a plain URL, like http://127.0.0.1:9000/reports"),
+        (LEAST + "[classes.p]\neffect = 'keyed'\n", "g.toml:3: classes.p: a keyed class needs a window over 0s, and no other class has one"),
+        (LEAST + "[classes.p]\neffect = 'safe'\naim = '30s'\n", "g.toml:3: classes.p: aim must be over 0s and at most the deadline"),
+        (LEAST + "[wings.'-x']\n", "g.toml:3: wings.-x: is no name: letters, digits, dots, dashes, at most 64, the first no dash or dot"),
+        (LEAST + "[rules]\ncold_share = 1.5\n", "g.toml:4: rules.cold_share: Input should be less than or equal to 1"),
+        (LEAST + "[limits]\ncalls = true\n", "g.toml:4: limits.calls: Input should be a valid integer"),
+        ("a = \n", "g.toml:1: Invalid value"),
+        ("a = 1\na = 2\n", "g.toml:2: Cannot overwrite a value"),
+        (b"a = 1\n\xff", "g.toml:2: is not UTF-8"),
+        (b"#" * (1 << 20) + b"x", "g.toml: is over 1048576 bytes"),
+    ],
+)  # fmt: skip
+def test_a_fault_is_named_by_line_with_what_would_be_right(text: str | bytes, told: str) -> None:
+    assert faults(text) == [told]
+
+
+def test_all_faults_are_told_in_one_pass() -> None:
+    text = 'log = "loud"\n[inventory]\npaths = []\npoll = "1"\n[limits]\ncalls = 0\nmesages = 1\n'
+    assert [line.split(": ")[0] for line in faults(text)] == [f"g.toml:{n}" for n in (1, 3, 4, 6, 7)]
+
+
+def test_the_sample_is_good_and_its_paths_start_from_its_folder(tmp_path: Path) -> None:
+    config = load(ROOT / "deploy" / "gateway.toml")
+    assert config.path("inventory") == ROOT / "deploy" / "inventory"
+    with pytest.raises(ConfigProblems, match="No such file"):
+        load(tmp_path / "none.toml")
--- /dev/null
+++ b/tests/inventory/test_broken.py
@@ -0,0 +1,73 @@
+"""Thousands of rows with a few defects: the exact set, or a refusal that names exactly the planted lines."""
+
+from __future__ import annotations
+
+import random
+from functools import cache
+
+import pytest
+
+from emberlatch.inventory import Inventory, RefusedError, assemble, parse
+from emberlatch.inventory.parsed import Parsed
+from tests.inventory.books import WORDS, Book, Planting, book
+
+ROWS, FILES, VARIANTS, CHUNKS = 5000, 40, 200, 20
+
+
+def parsed(text: str, name: str) -> Parsed:
+    return parse(text.encode(), name, WORDS)
+
+
+@cache
+def sound() -> tuple[Book, dict[str, str], dict[str, Parsed], Inventory]:
+    made = book(ROWS, FILES)
+    texts = made.texts()
+    files = {name: parsed(text, name) for name, text in texts.items()}
+    return made, texts, files, assemble(files.values())
+
+
+def test_five_thousand_rows_over_forty_files_load_in_any_order() -> None:
+    _, _, files, inventory = sound()
+    assert len(inventory) == ROWS
+    names = list(files)
+    random.Random(1).shuffle(names)
+    again = assemble(files[name] for name in names)
+    assert again == inventory and again.digest == inventory.digest
+    first = inventory.endpoints[b"ep-8@east-wing/3"]
+    assert (first.address, first.partner, first.limit) == (("10.0.0.8", 5000), "bank-2x", 3.0)
+
+
+@pytest.mark.parametrize("chunk", range(CHUNKS))
+def test_broken_variants_name_exactly_the_planted_lines(chunk: int) -> None:
+    made, texts, files, inventory = sound()
+    for variant in range(chunk, VARIANTS, CHUNKS):
+        planting = Planting(made.copy(), random.Random(variant))
+        for _ in range(1 + variant % 5):
+            planting.plant()
+        now = {name: planting.book.text(name) for name in files}
+        changed = {name: parsed(text, name) for name, text in now.items() if text != texts[name]}
+        with pytest.raises(RefusedError) as refused:
+            assemble((files | changed).values())
+        named = {(problem.place.file, problem.place.line) for problem in refused.value.problems}
+        assert named == planting.lines, f"variant {variant}: {[*map(str, refused.value.problems)]}"
+        assert all(problem.wrong for problem in refused.value.problems)
+    assert len(inventory) == ROWS
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda text: "\ufeff" + text,
+        lambda text: text.replace("\n", "\r\n"),
+        lambda text: text.replace(",", ";"),
+        lambda text: text.rstrip("\n"),
+        lambda text: text + "\n\n,,,,,,,,\n",
+        lambda text: "\n".join([text.split("\n")[0], *reversed(text.split("\n")[1:])]),
+        lambda text: text.replace("rural-bank", '"rural-bank"'),
+    ],
+)
+def test_what_spreadsheets_do_to_a_file_changes_nothing(change: object) -> None:
+    _, texts, files, inventory = sound()
+    assert callable(change)
+    again = {name: parsed(change(texts[name]), name) for name in files if name.endswith(".csv")}
+    assert assemble((files | again).values()) == inventory
