A standalone gateway with a command line, stand-in partners and a demonstration

Need: without the platform's environment the program ended at once, so nobody outside could run it. Change: emberlatch/standalone joins the engine, the HTTP front and carrier, the inventory as membership and a log of ends (or a reports URL); a control socket of mode 0600; a lock on the state folder. emberlatch/cli: serve, check, reload, status, inventory show/diff/convert, demo. emberlatch/standins: a partner as a pure model and on sockets. GET /messages/{id} tells how a message ended, only where ends are kept. The platform's path loads none of it (a test looks at sys.modules).

--- a/emberlatch/__init__.py
+++ b/emberlatch/__init__.py
@@ -2,4 +2,6 @@
 
 from emberlatch.core import Forwarder
 
-__all__ = ["Forwarder"]
+__version__ = "0.2.0"
+
+__all__ = ["Forwarder", "__version__"]
--- a/emberlatch/__main__.py
+++ b/emberlatch/__main__.py
@@ -1,4 +1,7 @@
-"""Runs one forwarder: configuration, signals, start and exit codes."""
+"""Runs one forwarder on the platform: configuration (EDGE_*), signals, start and exit codes.
+
+With arguments it is the `emberlatch` command instead, whose packages are not loaded on the platform.
+"""
 
 from __future__ import annotations
 
@@ -65,4 +68,8 @@
 
 
 if __name__ == "__main__":
+    if sys.argv[1:]:
+        from emberlatch import cli
+
+        cli.main(prog_name="emberlatch")
     sys.exit(main())
--- /dev/null
+++ b/emberlatch/cli/common.py
@@ -0,0 +1,57 @@
+"""What the commands share: errors as lines, exit 2 for what is wrong, and where a set comes from."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import NoReturn
+
+import click
+
+from emberlatch.config import ConfigProblems, Gateway, load
+from emberlatch.inventory import Inventory, RefusedError, Vocabulary
+from emberlatch.inventory import load as load_inventory
+
+PATH = click.Path(path_type=Path)
+
+
+def fail(lines: Iterable[object]) -> NoReturn:
+    """Print what is wrong, a line each, and exit with 2."""
+    for line in lines:
+        click.echo(str(line), err=True)
+    raise SystemExit(2)
+
+
+def configuration(path: Path) -> Gateway:
+    """The configuration in a file; all its faults and exit 2 if there are any."""
+    try:
+        return load(path)
+    except ConfigProblems as error:
+        fail(error.problems)
+
+
+def words(config: Gateway) -> Vocabulary:
+    """The words that an installation's inventory may use."""
+    return Vocabulary(tuple(config.wings), tuple(config.kinds))
+
+
+def listed(paths: list[Path], vocabulary: Vocabulary) -> Inventory:
+    """The set in some files and folders; all faults and exit 2 if there are any."""
+    try:
+        return load_inventory(paths, vocabulary)
+    except RefusedError as error:
+        fail(error.problems)
+
+
+def inventory_of(source: Path, config: Path | None) -> Inventory:
+    """The set of a configuration (`*.toml`), or of a file or folder with the words of `config`."""
+    if source.suffix == ".toml":
+        told = configuration(source)
+        return listed([told.path(path) for path in told.inventory.paths], words(told))
+    return listed([source], words(configuration(config)) if config is not None else default_words())
+
+
+def default_words() -> Vocabulary:
+    """The words of a configuration that sets none."""
+    fields = Gateway.model_fields
+    return Vocabulary(tuple(fields["wings"].default), tuple(fields["kinds"].default))
--- /dev/null
+++ b/emberlatch/cli/main.py
@@ -0,0 +1,101 @@
+"""`emberlatch`: serve, check, reload, status, inventory and demo."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from emberlatch import __version__
+from emberlatch.cli.common import PATH, configuration, fail, listed, words
+from emberlatch.cli.demo import demo
+from emberlatch.cli.inventory import inventory
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="emberlatch")
+def main() -> None:
+    """A gateway that takes messages, owes each exactly one final answer, and delivers them to partners."""
+
+
+main.add_command(inventory)
+main.add_command(demo)
+
+
+@main.command()
+@click.argument("config", type=PATH)
+def serve(config: Path) -> None:
+    """Run the gateway that CONFIG describes, until SIGTERM. SIGHUP looks at the inventory at once."""
+    from emberlatch.inventory import RefusedError
+    from emberlatch.standalone import StartError
+    from emberlatch.standalone import serve as run
+
+    told = configuration(config)
+    logging.basicConfig(
+        level=told.log.upper(),
+        stream=sys.stderr,
+        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
+    )
+    try:
+        asyncio.run(run(told))
+    except StartError as error:
+        fail([f"{config}: {error}"])
+    except RefusedError as error:
+        fail(error.problems)
+
+
+@main.command()
+@click.argument("config", type=PATH)
+def check(config: Path) -> None:
+    """Check CONFIG and its inventory: all that is wrong, by file and line, and exit 2; nothing is started."""
+    told = configuration(config)
+    found = listed([told.path(path) for path in told.inventory.paths], words(told))
+    click.echo(
+        f"{config}: good; set {found.digest} with {len(found)} endpoints of {len(found.names)} partners"
+    )
+
+
+def _ask(config: Path, name: str) -> dict[str, Any]:
+    from emberlatch.standalone import ask
+
+    told = configuration(config)
+    try:
+        return ask(told.path(told.state), name)
+    except (OSError, ValueError) as error:
+        fail([f"no gateway answers in {str(told.path(told.state))!r}: {error}"])
+
+
+@main.command()
+@click.argument("config", type=PATH)
+def reload(config: Path) -> None:
+    """Make the running gateway look at its inventory now; exit 1 if what it found was not taken."""
+    told = _ask(config, "reload")
+    if "error" in told:
+        fail([told["error"]])
+    for problem in told["problems"]:
+        click.echo(problem, err=True)
+    for path, why in told["waiting"].items():
+        click.echo(f"{path}: {why}, not taken yet", err=True)
+    change = "taken" if told["changed"] else "in force, as before"
+    click.echo(f"set {told['set']} with {told['endpoints']} endpoints {change}")
+    raise SystemExit(1 if told["problems"] or told["waiting"] else 0)
+
+
+@main.command()
+@click.argument("config", type=PATH)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object, for scripts.")
+def status(config: Path, as_json: bool) -> None:
+    """Show what the running gateway holds, and the pools, waits and endpoints that are in use."""
+    told = _ask(config, "status")
+    if "error" in told:
+        fail([told["error"]])
+    if as_json:
+        return click.echo(json.dumps(told))
+    from emberlatch.cli.tables import show_status
+
+    show_status(told)
--- /dev/null
+++ b/emberlatch/core/view.py
@@ -0,0 +1,70 @@
+"""What operators may see of the decision module: a snapshot that changes nothing."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from emberlatch.core.records import Endpoint, Pool, Route
+from emberlatch.core.rules import Forwarder
+
+MOST = 500  # pools told: those that are in use or in trouble
+
+
+def view(forwarder: Forwarder, now: float) -> dict[str, Any]:
+    """Slots, open messages, and each pool that is in use or in trouble, as plain values; times in seconds."""
+    busy = [(d, pool) for d, pool in forwarder.pools.items() if _matters(pool, now)]
+    return {
+        "slots": forwarder.settings.slots,
+        "slots_free": forwarder.free,
+        "open": len(forwarder.open),
+        "endpoints": len(forwarder.endpoints),
+        "destinations": len(forwarder.pools),
+        "pools": [_pool(destination, pool, now) for destination, pool in busy[:MOST]],
+    }
+
+
+def _matters(pool: Pool, now: float) -> bool:
+    if pool.leases or pool.waiting or pool.samples:
+        return True
+    return any(route.blocked_until > now or route.held or not _ready(route) for route in pool.routes)
+
+
+def _ready(route: Route) -> bool:
+    return all(endpoint.ready for endpoint in route.endpoints)
+
+
+def _pool(destination: int, pool: Pool, now: float) -> dict[str, Any]:
+    return {
+        "destination": destination,
+        "leases": pool.leases,
+        "waiting": len(pool.waiting),
+        "normal": round(pool.normal, 4),
+        "sick": pool.sick,
+        "routes": [_route(route, now) for route in pool.routes],
+    }
+
+
+def _route(route: Route, now: float) -> dict[str, Any]:
+    return {
+        "endpoints": [_endpoint(endpoint) for endpoint in route.endpoints],
+        "state": _state(route, now),
+        "wait": round(max(0.0, route.blocked_until - now), 3),
+        "calls": len(route.calls),
+        "recent": round(route.recent, 4),
+        "limit": route.limit,
+        "pace": None if route.pace == math.inf else round(route.pace, 2),
+    }
+
+
+def _state(route: Route, now: float) -> str:
+    if now < route.blocked_until:
+        return "told to wait"
+    if route.held:
+        return "held"
+    return "returning" if now < route.ramp_until else "open"
+
+
+def _endpoint(endpoint: Endpoint) -> dict[str, Any]:
+    phase = "gone" if endpoint.gone else "serving" if endpoint.ready else "draining"
+    return {"target": endpoint.entry.target.decode("utf-8", "replace"), "phase": phase}
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -8,9 +8,11 @@
 import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
+from typing import Any
 
 from emberlatch.core import Forwarder
 from emberlatch.core import interface as api
+from emberlatch.core.view import view
 from emberlatch.engine.seams import (
     Addresses,
     Answer,
@@ -106,6 +108,15 @@
         self._tasks.cancel()
         self._store.close()
 
+    def holds(self, request_id: str) -> bool:
+        """Whether a message with this id is taken on and has no end yet."""
+        return request_id in self._ids
+
+    def status(self) -> dict[str, Any]:
+        """What is held and owed, and what the module sees: for operators."""
+        now = self._loop.time()
+        return {"held": len(self._held), "notices_owed": len(self._ended)} | view(self._forwarder, now)
+
     def moved(self) -> None:
         """Membership is asked at another place from now on."""
         self._happened(api.DirectoryMoved())
--- a/emberlatch/net/api.py
+++ b/emberlatch/net/api.py
@@ -59,7 +59,7 @@
                 id=headers["x-request-id"],
                 key=headers.get("idempotency-key", ""),
                 category=headers["x-priority-class"],
-                tenant=headers["x-tenant-id"],
+                tenant=headers.get("x-tenant-id", ""),
                 destination=self._destination(headers["envelope"]),
                 remaining=_whole_number(headers["x-timeout-ms"]) / 1000,
                 body=bytes(request.body),
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from urllib.parse import unquote
 
 import httptools
 
@@ -31,6 +32,7 @@
     503: "Service Unavailable",
 }
 PATHS = {b"/api": b"POST", b"/healthz": b"GET"}
+MESSAGES = b"/messages/"  # and an id: how a message ended, where the installation keeps that
 SINGLE = {
     "content-length",
     "envelope",
@@ -76,21 +78,27 @@
         """Whether nobody is there any more to hear the answer."""
         return self._client.transport.is_closing()
 
-    def send(self, status: int, retry_after: float | None = None, allow: bytes = b"") -> None:
-        """Answer, once."""
+    def send(
+        self, status: int, retry_after: float | None = None, allow: bytes = b"", body: bytes = b""
+    ) -> None:
+        """Answer, once; a body is JSON."""
         if status in SOUND:
             self._client.server.proved(self._client)
         self.keep_alive = self.keep_alive and not self._client.server.stopping
-        head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: 0\r\n"
+        head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n"
+        head += "Content-Type: application/json\r\n" if body else ""
         head += f"Retry-After: {retry_after:.3f}\r\n" if retry_after is not None else ""
         head += f"Allow: {allow.decode()}\r\n" if allow else ""
         head += "\r\n" if self.keep_alive else "Connection: close\r\n\r\n"
-        self.data = head.encode()
+        self.data = head.encode() + body
         self._client.flush()
 
 
 class Server:
-    """Listens for clients; `submit` gets each well-formed message with the place of its answer."""
+    """Listens for clients; `submit` gets each well-formed message with the place of its answer.
+
+    `asked`, if there is one, tells what is known of the message with an id.
+    """
 
     def __init__(
         self,
@@ -98,8 +106,9 @@
         submit: Callable[[Request, Reply], None],
         most_clients: int,
         tasks: Tasks,
+        asked: Callable[[str], bytes | None] | None = None,
     ) -> None:
-        self.submit, self.stopping = submit, False
+        self.submit, self.asked, self.stopping = submit, asked, False
         self._address, self._most, self._tasks = address, most_clients, tasks
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
         self._proven: dict[Client, None] = {}  # the longest unused first
@@ -338,7 +347,11 @@
         assert request is not None
         reply = self._reserve(self._parser.should_keep_alive())
         path = request.path.partition(b"?")[0]
-        if path not in PATHS:
+        asked = self.server.asked
+        if asked is not None and path.startswith(MESSAGES) and request.method == b"GET":
+            told = asked(unquote(path[len(MESSAGES) :].decode("latin-1")))
+            reply.send(404) if told is None else reply.send(200, body=told)
+        elif path not in PATHS:
             reply.send(404)
         elif request.method != PATHS[path]:
             reply.send(405, allow=PATHS[path])
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -15,6 +15,7 @@
 from emberlatch.net.api import Api
 from emberlatch.net.directory import Directory
 from emberlatch.net.http import parse_address
+from emberlatch.net.limits import places
 from emberlatch.net.notices import Notices
 from emberlatch.net.server import Server
 from emberlatch.net.targets import Targets
@@ -24,11 +25,6 @@
 log = logging.getLogger(__name__)
 
 MB = 1_000_000
-# Descriptors beside those of clients and calls: standard streams, the loop's own, the listener, the
-# journal's (two while it rolls), discovery and notices (two each while they move), files read, and
-# sockets accepted or closed in a turn of the loop that are not counted yet.
-RESERVED = 32
-CLIENTS_SHARE = 0.5  # of the others: calls get the rest
 
 
 class ConfigError(Exception):
@@ -90,10 +86,10 @@
     if not isinstance(document, dict):
         raise ConfigError("EDGE_CONFIG: must hold a JSON object")
     limits, settings = _object(document, "limits"), _object(document, "settings")
-    sockets = int(_positive(limits, "sockets")) - RESERVED
-    most_clients = int(sockets * CLIENTS_SHARE)
-    if most_clients < 1:
-        raise ConfigError(f"limits.sockets: must be over {RESERVED + 1}")
+    try:
+        most_clients, most_calls = places(int(_positive(limits, "sockets")))
+    except ValueError as error:
+        raise ConfigError(f"limits.sockets: {error}") from error
     try:
         seed = int(str(_need(document, "seed")), 16)
     except ValueError as error:
@@ -108,7 +104,7 @@
         state=Path(state),
         seed=seed,
         most_clients=most_clients,
-        most_calls=sockets - most_clients,
+        most_calls=most_calls,
         journal_bytes=int(_positive(limits, "disk_mb") * MB),
         known=_object(document, "known"),
         raw_settings=settings,
--- /dev/null
+++ b/emberlatch/standalone/gateway.py
@@ -0,0 +1,191 @@
+"""Puts the standalone gateway together: the engine with an HTTP front, the HTTP carrier, an inventory as
+membership, and ends that are reported or kept."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import json
+import logging
+import os
+import resource
+import secrets
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+from emberlatch.config import Gateway, settings
+from emberlatch.engine import Engine, Tasks
+from emberlatch.inventory import InventoryMembership, Vocabulary
+from emberlatch.net.api import Api
+from emberlatch.net.limits import places
+from emberlatch.net.notices import Notices
+from emberlatch.net.server import Server
+from emberlatch.net.targets import Targets
+from emberlatch.standalone.control import Control
+from emberlatch.standalone.ends import Ends
+from emberlatch.store import Store
+
+log = logging.getLogger(__name__)
+
+
+class StartError(Exception):
+    """The gateway can't start; the text names the setting and the reason."""
+
+
+def vocabulary(config: Gateway) -> Vocabulary:
+    """The words that the inventory may use."""
+    return Vocabulary(tuple(config.wings), tuple(config.kinds))
+
+
+class Standalone:
+    """One gateway. The state folder is its own: a second process on it does not start."""
+
+    def __init__(self, config: Gateway) -> None:
+        """Raises StartError, or RefusedError if there is no inventory to go by."""
+        self._config, self._tasks = config, Tasks()
+        state = config.path(config.state)
+        self._lock = _claim(state)
+        try:
+            self._make(config, state)
+        except Exception:
+            self._tasks.cancel()
+            os.close(self._lock)
+            raise
+
+    def _make(self, config: Gateway, state: Path) -> None:
+        clients, calls = places(_descriptors(config.limits.sockets))
+        journal = state / "journal"
+        journal.mkdir(exist_ok=True)
+        told = settings(config)
+        try:
+            store = Store(journal, config.limits.journal)
+        except ValueError as error:
+            raise StartError(f"limits.journal: {error}") from error
+        self.engine = engine = Engine(told, secrets.randbits(64), store, self._tasks)
+        self.membership = InventoryMembership(
+            [config.path(path) for path in config.inventory.paths],
+            state,
+            vocabulary(config),
+            config.inventory.poll,
+            config.inventory.settle,
+            engine.listed,
+            self._tasks,
+        )
+        self.ends: Ends | Notices = self._make_ends(state)
+        self.server = Server(
+            config.listen_address,
+            Api(engine.submit, self.membership.named),
+            clients,
+            self._tasks,
+            self._asked if isinstance(self.ends, Ends) else None,
+        )
+        self.targets = Targets(told, calls, engine.outcome, self._tasks)
+        engine.join([self.server], self.targets, self.membership, self.ends)
+        self._control = Control(state, {"status": self.status, "reload": self.reload})
+
+    def _make_ends(self, state: Path) -> Ends | Notices:
+        config, confirmed = self._config, self.engine.confirmed
+        if config.reports is None:
+            return Ends(state, config.limits.ends_log, config.limits.ends, confirmed)
+        url = urlsplit(config.reports)
+        address = (url.hostname or "", url.port or 80)
+        return Notices(address, confirmed, self._tasks, url.path or "/", tells_deliveries=True)
+
+    async def start(self) -> None:
+        """Go on with what the journal holds, then listen."""
+        try:
+            await self.engine.start()
+        except OSError as error:
+            name = "state" if error.filename else "listen"
+            raise StartError(f"{name}: {error}") from error
+        try:
+            await self._control.start()
+        except OSError as error:
+            raise StartError(f"state: {error}") from error
+
+    async def stop(self) -> None:
+        """End what can end in time and leave the rest to the journal."""
+        self._control.stop()
+        await self.engine.stop()
+        os.close(self._lock)
+
+    async def reload(self) -> dict[str, Any]:
+        """Look at the inventory now; what came of it."""
+        before = self.membership.inventory.digest
+        await self.membership.reload()
+        return self._inventory() | {"changed": self.membership.inventory.digest != before}
+
+    def hang_up(self) -> None:
+        """SIGHUP: look at the inventory now."""
+        log.info("SIGHUP: looking at the inventory")
+        self._tasks.spawn(self.membership.reload())
+
+    async def status(self) -> dict[str, Any]:
+        """What operators may see, as plain values."""
+        names = {number: name for name, number in self.membership.inventory.names.items()}
+        told = self.engine.status()
+        for pool in told["pools"]:
+            pool["partner"] = names.get(pool["destination"], "")
+        return {"inventory": self._inventory(), "ends_pending": self.ends.pending} | told
+
+    def _inventory(self) -> dict[str, Any]:
+        membership = self.membership
+        return {
+            "set": membership.inventory.digest,
+            "taken": membership.taken,
+            "endpoints": len(membership.inventory),
+            "waiting": dict(membership.waiting),
+            "problems": [str(problem) for problem in membership.problems],
+        }
+
+    def _asked(self, message: str) -> bytes | None:
+        assert isinstance(self.ends, Ends)
+        if self.engine.holds(message):
+            return json.dumps({"id": message, "state": "held"}).encode()
+        end = self.ends.of(message)
+        return None if end is None else json.dumps({k: v for k, v in end.items() if k != "ref"}).encode()
+
+
+def _claim(state: Path) -> int:
+    """Make the folder and lock it, as long as the process lives."""
+    try:
+        state.mkdir(parents=True, exist_ok=True)
+        lock = os.open(state / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    except OSError as error:
+        raise StartError(f"state: {error}") from error
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        raise StartError(f"state: {str(state)!r} is in use by another gateway") from None
+    return lock
+
+
+def _descriptors(wanted: int) -> int:
+    """Make sure that the process may open so many."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard != resource.RLIM_INFINITY and wanted > hard:
+        raise StartError(f"limits.sockets: {wanted}, but this process may open {hard} descriptors")
+    if soft != resource.RLIM_INFINITY and wanted > soft:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    return wanted
+
+
+async def serve(config: Gateway) -> None:
+    """Run until SIGTERM or SIGINT; raises StartError or RefusedError."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the start itself looks at the inventory
+    gateway = Standalone(config)
+    await gateway.start()
+    loop.add_signal_handler(signal.SIGHUP, gateway.hang_up)
+    inventory = gateway.membership.inventory
+    log.info("set %s with %d endpoints, listening on %s", inventory.digest, len(inventory), config.listen)
+    sys.stderr.flush()
+    await stop.wait()
+    await gateway.stop()
--- /dev/null
+++ b/emberlatch/standins/behaviour.py
@@ -0,0 +1,177 @@
+"""What a partner's endpoint does with a call: pure, on the caller's clock, so that a socket server and a
+simulation can both run it.
+
+An endpoint has workers that each serve one call at a time; what finds none waits in a queue. It may
+have a limit in calls a second, told in its answers (`x0`, `x1`). After an outage it comes back cold:
+it does `cold_share` of its work at first and all of it after `cold` seconds; more than `fall_multiple`
+times what it can do, kept up for `fall_after` seconds, knocks it over for good.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Condition(Enum):
+    """What befalls an endpoint."""
+
+    WELL = "well"
+    SLOW = "slow"  # ten times the usual time
+    HANG = "hang"  # takes calls and answers none
+    RESET = "reset"  # breaks the connection once a call has come
+    ERROR = "error"  # answers 500
+    FULL = "full"  # answers 503, with a wait
+    SHUT = "shut"  # refuses connections
+
+
+OUTAGES = {Condition.HANG, Condition.RESET, Condition.ERROR, Condition.FULL, Condition.SHUT}
+SLOWER = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How an endpoint is when nothing befalls it; times in seconds, rates in calls a second."""
+
+    work: float = 0.06
+    spread: float = 0.3  # of the work, as a coefficient of variation
+    workers: int = 8
+    queue: int = 32
+    limit: float = 0.0  # 0: none
+    wait: float = 0.5  # told with a refusal; 0: refusals tell none
+    window: float = 25.0  # for which a key is kept and its repeat dropped
+    cold: float = 13.0
+    cold_share: float = 0.27
+    fall_multiple: float = 1.5
+    fall_after: float = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message of a call; an empty key is none."""
+
+    id: str
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Fate:
+    """What becomes of a call: at `at` an answer with a status, or a reset (0); infinitely late is silence."""
+
+    at: float
+    status: int = 200
+    retry_after: float = 0.0
+    report: tuple[float, float] | None = None  # x0, x1
+
+
+class Keys:
+    """The effects of the endpoints of one partner in one wing, which drop each other's repeats."""
+
+    def __init__(self, window: float) -> None:
+        self._window, self._ran = window, dict[str, float]()
+        self.effects: dict[str, int] = {}  # id or key -> how often it took effect
+
+    def run(self, now: float, message: Message) -> None:
+        """A message takes effect, unless its key has within the window."""
+        name = message.key or message.id
+        if message.key and now - self._ran.get(message.key, -math.inf) < self._window:
+            return
+        self._ran[name] = now
+        self.effects[name] = self.effects.get(name, 0) + 1
+
+
+class Partner:
+    """One endpoint."""
+
+    def __init__(self, behaviour: Behaviour, keys: Keys | None = None, seed: int = 0) -> None:
+        self.behaviour, self.keys = behaviour, keys or Keys(behaviour.window)
+        self._random = random.Random(seed)
+        self.condition = Condition.WELL
+        self.fallen = False
+        self.calls: list[float] = []  # when each call came
+        self._cold_since = -math.inf
+        self._struck = math.inf  # since when it has been out
+        self._busy: list[float] = []  # when each worker is free again
+        self._tokens, self._filled = max(1.0, behaviour.limit), -math.inf
+        self._lately: deque[float] = deque()  # calls while cold, within fall_after
+
+    def become(self, now: float, condition: Condition) -> None:
+        """From now on it is so; back from an outage it is cold."""
+        if self.condition in OUTAGES and condition not in OUTAGES:
+            self._cold_since, self._busy = now, []
+            self._lately.clear()
+        self.condition = condition
+
+    def accepts(self) -> bool:
+        """Whether a connection comes up."""
+        return self.condition is not Condition.SHUT and not self.fallen
+
+    def warmth(self, now: float) -> float:
+        """The share of its capacity that it has."""
+        b = self.behaviour
+        return min(1.0, b.cold_share + (1 - b.cold_share) * (now - self._cold_since) / max(b.cold, 1e-9))
+
+    def call(self, now: float, messages: Sequence[Message]) -> Fate:
+        """A call's last byte has come."""
+        self.calls.append(now)
+        self._push(now)
+        if self.fallen or self.condition is Condition.HANG:
+            return Fate(math.inf)
+        b, report = self.behaviour, self._report(now)
+        if self.condition is Condition.RESET:
+            self._run(now, messages)
+            return Fate(now, 0)
+        if self.condition is Condition.ERROR:
+            return Fate(now, 500, report=report)
+        if self.condition is Condition.FULL or not self._admits(now):
+            return Fate(now, 429 if b.wait else 503, b.wait, report)
+        slower = SLOWER if self.condition is Condition.SLOW else 1.0
+        work = b.work * slower / self.warmth(now) * max(0.2, self._random.gauss(1.0, b.spread))
+        while self._busy and self._busy[0] <= now:
+            heapq.heappop(self._busy)
+        if len(self._busy) >= b.workers + b.queue:
+            return Fate(now, 503, report=report)
+        begins = (
+            now
+            if len(self._busy) < b.workers
+            else heapq.nsmallest(len(self._busy) - b.workers + 1, self._busy)[-1]
+        )
+        ends = begins + work * (1 + 0.35 * (len(messages) - 1))
+        heapq.heappush(self._busy, ends)
+        self._run(ends, messages)
+        return Fate(ends, 200, report=report)
+
+    def _run(self, at: float, messages: Sequence[Message]) -> None:
+        for message in messages:
+            self.keys.run(at, message)
+
+    def _push(self, now: float) -> None:
+        """Count the load on a cold endpoint; too much for too long knocks it over."""
+        b = self.behaviour
+        if self.warmth(now) >= 1.0 or self.condition in OUTAGES:
+            return
+        self._lately.append(now)
+        while self._lately[0] < now - b.fall_after:
+            self._lately.popleft()
+        most = b.fall_multiple * self.warmth(now) * b.workers / b.work * b.fall_after
+        self.fallen = self.fallen or len(self._lately) > most
+
+    def _admits(self, now: float) -> bool:
+        limit = self.behaviour.limit
+        if not limit:
+            return True
+        since = min(max(now - self._filled, 0.0), 1.0)
+        self._tokens, self._filled = min(max(1.0, limit), self._tokens + limit * since), now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _report(self, now: float) -> tuple[float, float] | None:
+        limit = self.behaviour.limit
+        return (max(0.0, min(1.0, self._tokens / max(1.0, limit))), limit) if limit else None
--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,180 @@
+"""The `emberlatch` command as a person or a script meets it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from emberlatch.cli import main
+from tests.peers import ROOT, Peer, silence
+from tests.standalone.world import HEADER, configure, gateway, hand_in, row, run, save
+
+ROW = "m1,10.0.0.1:80,momo,rural-bank,east-wing,"
+
+
+def call(*arguments: object) -> Result:
+    return CliRunner().invoke(main, [str(argument) for argument in arguments])
+
+
+def prepared(folder: Path, *rows: str) -> Path:
+    save(folder, *rows)
+    return asyncio.run(configure(folder))[0]
+
+
+def test_check_tells_all_that_is_wrong_and_exits_with_2(tmp_path: Path) -> None:
+    path = prepared(tmp_path, ROW, ROW.replace("east", "south"), ROW.replace(":80", ""))
+    done = call("check", path)
+    place = tmp_path / "inventory" / "a.csv"
+    assert done.exit_code == 2
+    assert [line.split(": ")[0] for line in done.stderr.splitlines()] == [
+        f"{place}:{n}" for n in (3, 3, 3, 4, 4)
+    ]
+    path.write_text("listen = 1\n")
+    done = call("check", path)
+    assert (
+        done.exit_code == 2 and f"{path}:1: listen:" in done.stderr and "inventory: is missing" in done.stderr
+    )
+
+
+def test_check_of_the_sample_is_good() -> None:
+    done = call("check", ROOT / "deploy" / "gateway.toml")
+    assert (done.exit_code, done.stderr) == (0, "")
+    assert "with 5 endpoints of 3 partners" in done.stdout
+
+
+def test_serve_with_a_bad_setting_ends_with_2_and_starts_nothing(tmp_path: Path) -> None:
+    path = prepared(tmp_path, ROW)
+    for text, told in (("\n[rules]\nidle = 3\n", "rules.idle"), ("sockets = 999999999\n", "limits.sockets")):
+        path.write_text(path.read_text() + text)
+        done = subprocess.run(
+            [sys.executable, "-m", "emberlatch", "serve", str(path)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert done.returncode == 2 and told in done.stderr and len(done.stderr.splitlines()) == 1
+        path.write_text(path.read_text().replace(text, ""))
+
+
+def test_serve_with_a_broken_inventory_names_each_row(tmp_path: Path) -> None:
+    path = prepared(tmp_path, ROW.replace("east", "south"), ROW.replace("rural", "urban"))
+    done = call("serve", path)
+    assert done.exit_code == 2
+    assert [line.split(".csv:")[1][0] for line in done.stderr.splitlines()] == ["2", "3", "3", "3"]
+
+
+def test_inventory_show_tells_what_is_in_effect() -> None:
+    sample = ROOT / "deploy" / "gateway.toml"
+    rows = {row["id"]: row for row in json.loads(call("inventory", "show", sample, "--json").stdout)}
+    assert (rows["hill-2"]["wing"], rows["hill-1"]["kind"], rows["hill-1"]["destination"]) == (
+        "west-wing",
+        "rural-bank",
+        7,
+    )
+    table = CliRunner(env={"COLUMNS": "200"}).invoke(main, ["inventory", "show", str(sample)])
+    assert all(name in table.stdout for name in rows)
+
+
+def test_inventory_diff_exits_with_1_where_something_changes_in_effect(tmp_path: Path) -> None:
+    old, new = tmp_path / "old.csv", tmp_path / "new.csv"
+    other = ROW.replace("m1", "m2").replace(".1:", ".2:")
+    old.write_text("\n".join([HEADER, ROW, other]))
+    new.write_text("\n".join([HEADER, other, ROW]))
+    done = call("inventory", "diff", old, new)
+    assert (done.exit_code, done.stdout) == (0, "no change in effect\n")
+    new.write_text("\n".join([HEADER, other + "draining", ROW]))
+    done = call("inventory", "diff", old, new)
+    assert (done.exit_code, done.stdout) == (1, "~ m2 (momo): drains\n1 changes\n")
+    (change,) = json.loads(call("inventory", "diff", old, new, "--json").stdout)
+    assert (change["fields"], change["after"]["phase"]) == (["draining"], "draining")
+    new.write_text("nothing")
+    assert call("inventory", "diff", old, new).exit_code == 2
+
+
+def test_inventory_convert_gives_the_same_set(tmp_path: Path) -> None:
+    sample = ROOT / "deploy" / "inventory"
+    for form in ("csv", "yaml"):
+        made = tmp_path / f"all.{form}"
+        assert call("inventory", "convert", sample, "--to", form, "-o", made).exit_code == 0
+        assert call("inventory", "diff", sample, made).exit_code == 0
+        assert call("inventory", "convert", sample, "--to", form).stdout == made.read_text()
+
+
+def test_the_words_of_a_configuration_bind_an_inventory(tmp_path: Path) -> None:
+    path = prepared(tmp_path, ROW)
+    path.write_text(path.read_text() + "[wings.north]\n")
+    assert call("inventory", "show", tmp_path / "inventory", "--json").exit_code == 0
+    done = call("inventory", "show", tmp_path / "inventory", "--config", path)
+    assert done.exit_code == 2 and "wing: 'east-wing' is not known; one of north" in done.stderr
+
+
+def test_reload_and_status_ask_the_gateway_that_runs(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Peer(silence) as peer, gateway(tmp_path, row("m1", peer)) as (_, port):
+            path = tmp_path / "gateway.toml"
+            assert await hand_in(port, "p1") == 202
+            await peer.next()
+            done = await asyncio.to_thread(call, "status", path, "--json")
+            assert json.loads(done.stdout)["held"] == 1
+            done = await asyncio.to_thread(call, "status", path)
+            assert "1 messages held" in done.stdout and "momo" in done.stdout
+            done = await asyncio.to_thread(call, "reload", path)
+            assert (done.exit_code, done.stdout.split()[-1]) == (0, "before")
+            save(tmp_path, row("m1", peer), row("m2", peer))
+            done = await asyncio.to_thread(call, "reload", path)
+            assert done.exit_code == 1 and f"address: {peer.address} is a duplicate" in done.stderr
+            save(tmp_path, row("m3", peer))
+            done = await asyncio.to_thread(call, "reload", path)
+            assert (done.exit_code, done.stdout.split()[-1]) == (0, "taken")
+
+    run(test)
+
+
+def test_without_a_gateway_reload_and_status_say_so(tmp_path: Path) -> None:
+    path = prepared(tmp_path, ROW)
+    for name in ("reload", "status"):
+        done = call(name, path)
+        assert done.exit_code == 2 and "no gateway answers in" in done.stderr
+
+
+def test_the_platform_path_loads_nothing_heavy(tmp_path: Path) -> None:
+    """The forwarder of the platform has 32 MB and one core: it must not pay for what it does not use."""
+    heavy = ["yaml", "pydantic", "click", "rich", "csv"]
+    heavy += [f"emberlatch.{name}" for name in ("cli", "config", "inventory", "standalone", "standins")]
+    code = f"import sys, emberlatch.__main__; print([n for n in {heavy} if n in sys.modules])"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
+    assert done.stdout == "[]\n"
+
+
+@pytest.mark.parametrize(
+    "arguments", [["--version"], ["--help"], ["inventory", "--help"], ["demo", "--help"]]
+)
+def test_help_is_there(arguments: list[str]) -> None:
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    command = [sys.executable, "-m", "emberlatch", *arguments]
+    done = subprocess.run(command, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 0 and "emberlatch" in done.stdout
+
+
+def test_the_demo_shows_a_broken_partner_contained() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "emberlatch", "demo", "--seconds", "6", "--json"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    told = json.loads(done.stdout)
+    assert told["unanswered"] == told["answered_twice"] == 0
+    parts = {name: sum(part["sent"] for part in p.values()) for name, p in told["partners"].items()}
+    assert len(parts) == 5 and all(sent > 5 for sent in parts.values())
+    broken, others = told["partners"].pop(told["broken"]), told["partners"]
+    assert broken["during"]["median"] > 2 * max(p["during"]["median"] for p in others.values())
--- /dev/null
+++ b/tests/standins/test_partner.py
@@ -0,0 +1,166 @@
+"""The stand-in partner: one description of its behaviour, by a clock or on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import sys
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from emberlatch.demo import Account
+from emberlatch.net.http import BrokenError, Connection, connect, parse_address
+from emberlatch.standins import Behaviour, Condition, Message, Partner, PartnerServer
+from emberlatch.standins.behaviour import Keys
+from tests.peers import ROOT
+
+ONE = [Message("m1", "k1")]
+EVEN = Behaviour(work=0.1, spread=0.0, workers=2, queue=2, cold=10.0)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        await asyncio.wait_for(test(), 30)
+
+    asyncio.run(limited())
+
+
+def test_workers_serve_and_a_full_queue_turns_away() -> None:
+    partner = Partner(EVEN)
+    fates = [partner.call(0.0, [Message(f"m{n}")]) for n in range(5)]
+    assert [(round(f.at, 3), f.status) for f in fates] == [
+        (0.1, 200),
+        (0.1, 200),
+        (0.2, 200),
+        (0.2, 200),
+        (0.0, 503),
+    ]
+    assert partner.call(0.15, ONE).at == pytest.approx(0.3)
+
+
+def test_a_limit_is_kept_and_told() -> None:
+    partner = Partner(Behaviour(limit=2.0, wait=0.7))
+    fates = [partner.call(0.0, ONE) for _ in range(3)]
+    assert [f.status for f in fates] == [200, 200, 429]
+    assert (fates[2].retry_after, fates[2].report) == (0.7, (0.0, 2.0))
+    assert fates[0].report == (1.0, 2.0)
+    assert partner.call(0.5, ONE).status == 200
+
+
+@pytest.mark.parametrize(
+    ("condition", "status", "answered"),
+    [
+        (Condition.HANG, 200, False),
+        (Condition.RESET, 0, True),
+        (Condition.ERROR, 500, True),
+        (Condition.FULL, 429, True),
+    ],
+)
+def test_what_befalls_it(condition: Condition, status: int, answered: bool) -> None:
+    partner = Partner(EVEN)
+    partner.become(0.0, condition)
+    fate = partner.call(1.0, ONE)
+    assert fate.status == status and (fate.at < math.inf) == answered
+    partner.become(2.0, Condition.WELL)
+    assert partner.call(3.0, ONE).at == pytest.approx(3 + 0.1 / (0.27 + 0.73 * 0.1))  # cold
+
+
+def test_a_cold_one_falls_over_under_load_and_warms_up_without() -> None:
+    for rate, falls in ((3.0, False), (30.0, True)):
+        partner = Partner(EVEN)
+        partner.become(0.0, Condition.HANG)
+        partner.become(5.0, Condition.WELL)
+        for n in range(int(9 * rate)):
+            partner.call(5.0 + n / rate, ONE)
+        assert partner.fallen is falls
+        assert partner.accepts() is not falls
+    assert partner.warmth(16.0) == 1.0
+
+
+def test_a_key_takes_effect_once_within_its_window() -> None:
+    keys = Keys(25.0)
+    one, two = Partner(EVEN, keys), Partner(EVEN, keys)
+    one.call(0.0, ONE)
+    two.call(20.0, ONE)
+    assert keys.effects == {"k1": 1}
+    two.call(30.0, ONE)
+    assert keys.effects == {"k1": 2}
+
+
+def call(name: str = "m1", path: str = "/v1/messages", body: bytes = b"x") -> bytes:
+    head = f"POST {path} HTTP/1.1\r\nX-Request-ID: {name}\r\nIdempotency-Key: {name}\r\n"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def connected(server: PartnerServer) -> Connection:
+    return await connect(parse_address(server.address), 5.0)
+
+
+def test_on_a_socket_it_answers_breaks_shuts_and_comes_back_at_its_address() -> None:
+    async def test() -> None:
+        server = PartnerServer(Partner(Behaviour(work=0.01, limit=50.0)))
+        await server.start()
+        connection = await connected(server)
+        answer = await connection.exchange(call())
+        assert answer.status == 200 and answer.headers["x-server-load"] == "x0=1.000,x1=50.000"
+        batch = b"a - 1\r\nx\r\nb k 2\r\nxx\r\n"
+        answer = await connection.exchange(call(path="/v1/messages:batch", body=batch))
+        assert bytes(answer.body) == b"a ok\r\nb ok\r\n"
+        assert (await connection.exchange(call(path="/v1/messages:batch", body=b"a - x"))).status == 400
+        await server.become(Condition.RESET)
+        with pytest.raises(BrokenError):
+            await connection.exchange(call())
+        address = server.address
+        await server.become(Condition.SHUT)
+        with pytest.raises(OSError):
+            await connected(server)
+        await server.become(Condition.WELL)
+        assert server.address == address
+        assert (await (await connected(server)).exchange(call())).status == 200
+        await server.stop()
+
+    run(test)
+
+
+def test_a_process_hosts_several_and_changes_them_on_demand() -> None:
+    async def test() -> None:
+        pipe = asyncio.subprocess.PIPE
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "emberlatch.standins", cwd=ROOT, stdin=pipe, stdout=pipe
+        )
+        assert process.stdin is not None and process.stdout is not None
+        process.stdin.write(b'[{"id": "a", "behaviour": {"work": 0.01}}, {"id": "b", "behaviour": {}}]\n')
+        addresses = json.loads(await process.stdout.readline())
+        connection = await connect(parse_address(addresses["a"]), 5.0)
+        assert (await connection.exchange(call())).status == 200
+        process.stdin.write(b'{"id": "a", "condition": "error"}\n')
+        assert json.loads(await process.stdout.readline()) == {"id": "a", "calls": 1}
+        assert (await connection.exchange(call())).status == 500
+        process.stdin.close()
+        assert await process.wait() == 0
+
+    run(test)
+
+
+def test_the_books_of_a_demonstration() -> None:
+    account = Account(["a", "b"], "a", aim=1.0)
+    for n in range(10):
+        account.sent(f"a{n}", "a", "during", 0.0)
+        account.sent(f"b{n}", "b", "before" if n < 5 else "during", 0.0)
+        account.ended(f"b{n}", "delivered", 0.5)
+    assert not account.summary().contained  # the broken one's have no answer
+    for n in range(10):
+        account.ended(f"a{n}", ("delivered", "refused", "failed")[n % 3], 2.0)
+    assert account.summary().contained
+    assert account.summary().partners["a"]["during"] == {
+        "sent": 10, "service": 0.0, "median": 2.0, "late": 4, "refused": 3, "failed": 3,
+    }  # fmt: skip
+    account.ended("a1", "delivered", 3.0)
+    assert account.summary().answered_twice == 1 and not account.summary().contained
+    late = Account(["a", "b"], "a", aim=1.0)
+    for n in range(100):
+        late.sent(f"b{n}", "b", "before" if n < 50 else "during", 0.0)
+        late.ended(f"b{n}", "delivered", 0.5 if n < 97 else 2.0)
+    assert not late.summary().contained  # 6% of the others' were late
