--- a/benchmarks/inventory.py
+++ b/benchmarks/inventory.py
@@ -28,7 +28,7 @@
 from emberlatch.inventory import InventoryMembership, Vocabulary, diff, load
 from emberlatch.net.targets import Targets
 from emberlatch.standalone.ends import Ends
-from emberlatch.store import Store
+from emberlatch.store import Folder, Store
 
 WORDS = Vocabulary(("east-wing", "west-wing"), ("wallet-operator", "rural-bank"))
 SIZES = (1_000, 10_000, 100_000)
@@ -104,7 +104,7 @@
     tasks, config = Tasks(), parse_config(b'[inventory]\npaths = ["x"]\n', "x")
     told = settings(config)
     (folder / "journal").mkdir()
-    engine = Engine(told, 1, Store(folder / "journal", 10_000_000), tasks)
+    engine = Engine(told, 1, Store(Folder(folder / "journal"), 10_000_000), tasks)
     files = folder / "inventory"
     files.mkdir()
     write(files, count, "csv")
--- a/emberlatch/engine/__init__.py
+++ b/emberlatch/engine/__init__.py
@@ -1,6 +1,7 @@
 """A message's life, whatever front it came by and whatever carrier takes it on."""
 
 from emberlatch.engine.engine import Engine
+from emberlatch.engine.machine import REAL, Listener, Machine
 from emberlatch.engine.seams import (
     Address,
     Addresses,
@@ -17,6 +18,7 @@
 from emberlatch.engine.tasks import Tasks
 
 __all__ = [
+    "REAL",
     "Address",
     "Addresses",
     "Answer",
@@ -26,6 +28,8 @@
     "Engine",
     "Front",
     "Item",
+    "Listener",
+    "Machine",
     "Membership",
     "Notice",
     "Submission",
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import logging
-import time
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 from typing import Any
@@ -13,6 +12,7 @@
 from emberlatch.core import Forwarder
 from emberlatch.core import interface as api
 from emberlatch.core.view import view
+from emberlatch.engine.machine import REAL, Machine
 from emberlatch.engine.seams import (
     Addresses,
     Answer,
@@ -43,11 +43,13 @@
     made with `submit`, `outcome`, `listed` and `confirmed`, and `join` brings them in.
     """
 
-    def __init__(self, settings: api.Settings, seed: int, store: Store, tasks: Tasks) -> None:
+    def __init__(
+        self, settings: api.Settings, seed: int, store: Store, tasks: Tasks, machine: Machine = REAL
+    ) -> None:
         # The platform has no probes beside calls, so the module must not wait for one.
         self._settings = replace(settings, probes=False)
         self._forwarder = Forwarder(self._settings, seed)
-        self._tasks, self._store = tasks, store
+        self._tasks, self._store, self._wall = tasks, store, machine.wall
         self._fronts: Sequence[Front]
         self._carrier: Carrier
         self._membership: Membership
@@ -72,7 +74,7 @@
     async def start(self) -> None:
         """Read the journal, go on with what it holds, then listen."""
         self._membership.start()
-        now = time.time()
+        now = self._wall()
         entries = self._store.load()
         for entry in entries:
             if entry.notice is not None:
@@ -156,7 +158,7 @@
             message.category,
             message.tenant,
             message.destination,
-            time.time() + remaining,
+            self._wall() + remaining,
             message.body,
         )
         self._arriving[ref] = entry, answer
@@ -316,7 +318,7 @@
             # first call, which would never come back without an outcome.
             self._happened(api.Outcome(action.ref, 0, action.target, api.Result.MOOT, 0.0, closed=True))
             return
-        attempt, now = entry.attempts, time.time()
+        attempt, now = entry.attempts, self._wall()
         entry.attempts += 1
         listed = self._carrier.entry(action.target)
         if listed is None:  # gone since
--- /dev/null
+++ b/emberlatch/engine/machine.py
@@ -0,0 +1,50 @@
+"""What a process has from its machine beside the event loop, so that a simulated one can take its place.
+
+Time and outgoing connections come from the running loop; what it does not give is here.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+from emberlatch.engine.seams import Address
+from emberlatch.store import Files, Folder
+
+BACKLOG = 512  # connections that wait to be accepted
+
+
+class Listener(Protocol):
+    """A listening socket, as far as it is used: readable while connections wait to be accepted."""
+
+    def accept(self) -> tuple[Any, Any]:
+        """The next connection; BlockingIOError if none waits."""
+
+    def fileno(self) -> int:
+        """Its descriptor."""
+
+    def close(self) -> None:
+        """Listen no more."""
+
+
+def listen(address: Address) -> Listener:
+    """A real socket that listens; OSError if it can't."""
+    listener = socket.create_server(address, backlog=BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """The wall clock (Unix time in seconds), listening sockets, and folders that outlast the process."""
+
+    wall: Callable[[], float] = time.time
+    listen: Callable[[Address], Listener] = listen
+    files: Callable[[Path], Files] = Folder
+
+
+REAL = Machine()
--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -83,6 +83,9 @@
     def _readable(self) -> bool:
         # What waits to be read belongs to no answer, or is the end of the connection. Once a request is
         # out, the rest of a doubled answer would be taken for the answer to it.
+        told = self._transport.get_extra_info("unread")  # by a transport that is no socket
+        if told is not None:
+            return bool(told())
         poll = select.poll()
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from emberlatch.engine import Address, Tasks
+from emberlatch.engine import REAL, Address, Listener, Machine, Tasks
 from emberlatch.net.http import MAX_HEAD
 from emberlatch.store import MAX_BODY
 
@@ -107,17 +107,17 @@
         most_clients: int,
         tasks: Tasks,
         asked: Callable[[str], bytes | None] | None = None,
+        machine: Machine = REAL,
     ) -> None:
         self.submit, self.asked, self.stopping = submit, asked, False
-        self._address, self._most, self._tasks = address, most_clients, tasks
+        self._address, self._most, self._tasks, self._machine = address, most_clients, tasks, machine
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
         self._proven: dict[Client, None] = {}  # the longest unused first
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
 
     def start(self) -> None:
         """Begin to listen."""
-        self._listener = socket.create_server(self._address, backlog=512)
-        self._listener.setblocking(False)
+        self._listener = self._machine.listen(self._address)
         self._listen()
         asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from emberlatch.core import interface as api
-from emberlatch.engine import Address, Engine, Tasks
+from emberlatch.engine import REAL, Address, Engine, Machine, Tasks
 from emberlatch.net.api import Api
 from emberlatch.net.directory import Directory
 from emberlatch.net.http import parse_address
@@ -115,13 +115,14 @@
 class Platform:
     """The engine with the platform's front, carrier, membership and end."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, machine: Machine = REAL) -> None:
         """Raises ValueError if the journal's room is too small."""
         self._discovery = config.discovery
-        tasks = Tasks()
-        self.store = Store(config.state, config.journal_bytes)
-        self.engine = engine = Engine(config.settings, config.seed, self.store, tasks)
-        self.server = Server(config.listen, Api(engine.submit), config.most_clients, tasks)
+        self.tasks = tasks = Tasks()
+        self._files = machine.files
+        self.store = Store(self._files(config.state), config.journal_bytes)
+        self.engine = engine = Engine(config.settings, config.seed, self.store, tasks, machine)
+        self.server = Server(config.listen, Api(engine.submit), config.most_clients, tasks, machine=machine)
         self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks)
         self.notices = Notices(config.discovery, engine.confirmed, tasks)
         self.directory = Directory(config.discovery, config.known, config.raw_settings, engine.listed, tasks)
@@ -137,7 +138,7 @@
 
     def check(self, config: Config) -> None:
         """Look at the parts of a new configuration that are read at a start only; raises if one is bad."""
-        Store(config.state, config.journal_bytes)
+        Store(self._files(config.state), config.journal_bytes)
         self.directory.read(config.known)
 
     def move(self, discovery: Address) -> None:
--- a/emberlatch/standalone/gateway.py
+++ b/emberlatch/standalone/gateway.py
@@ -27,7 +27,7 @@
 from emberlatch.net.targets import Targets
 from emberlatch.standalone.control import Control
 from emberlatch.standalone.ends import Ends
-from emberlatch.store import Store
+from emberlatch.store import Folder, Store
 
 log = logging.getLogger(__name__)
 
@@ -62,7 +62,7 @@
         journal.mkdir(exist_ok=True)
         told = settings(config)
         try:
-            store = Store(journal, config.limits.journal)
+            store = Store(Folder(journal), config.limits.journal)
         except ValueError as error:
             raise StartError(f"limits.journal: {error}") from error
         self.engine = engine = Engine(told, secrets.randbits(64), store, self._tasks)
--- a/emberlatch/store/journal.py
+++ b/emberlatch/store/journal.py
@@ -9,13 +9,13 @@
 
 import json
 import logging
-import os
 import struct
 import zlib
 from dataclasses import asdict, dataclass, field
-from pathlib import Path
 from typing import Any
 
+from emberlatch.store.files import Files
+
 MAX_BODY = 64 * 1024  # bytes of a message's body
 
 log = logging.getLogger(__name__)
@@ -56,8 +56,8 @@
 class Store:
     """Appends to the journal and keeps it under its limit. Writing raises OSError where it fails."""
 
-    def __init__(self, folder: Path, limit: int) -> None:
-        self._folder = folder
+    def __init__(self, files: Files, limit: int) -> None:
+        self._files = files
         self._segment_size = limit // 16
         spare = self._segment_size + 3 * _MAX_RECORD  # what a compaction may need for a moment
         self._most = limit - spare
@@ -73,19 +73,20 @@
 
     def load(self) -> list[Entry]:
         """Read what is owed and open a new segment; damage costs no more than what it covers."""
-        for path in sorted(self._folder.glob("*.log")):
-            if not path.stem.isdigit():
+        for name in sorted(self._files.names()):
+            stem, _, ending = name.rpartition(".")
+            if ending != "log" or not stem.isdigit():
                 continue
-            number, data = int(path.stem), path.read_bytes()
+            number, data = int(stem), self._files.read(name)
             if not data:  # of a start that wrote nothing
-                path.unlink()
+                self._files.remove(name)
                 continue
             self._sizes[number] = len(data)
-            for payload in _records(data, path.name):
+            for payload in _records(data, name):
                 try:
                     self._replay(number, payload)
                 except (ValueError, KeyError, TypeError) as error:
-                    log.warning("journal %s: record passed over: %r", path.name, error)
+                    log.warning("journal %s: record passed over: %r", name, error)
         self._live = sum(map(_weight, self._entries.values()))
         self._current = max(self._sizes, default=0)
         self._roll()
@@ -131,7 +132,7 @@
 
     def close(self) -> None:
         """Close the segment that is being written."""
-        os.close(self._fd)
+        self._files.close(self._fd)
 
     def _append(self, record: bytes) -> None:
         for _ in range(len(self._sizes)):
@@ -146,16 +147,15 @@
         # A write cut short leaves a torn record, which replay passes over at the next mark.
         view = memoryview(record)
         while view:
-            written = os.write(self._fd, view)
+            written = self._files.write(self._fd, view)
             self._sizes[self._current] += written
             view = view[written:]
 
     def _roll(self) -> None:
         number = self._current + 1
-        path = self._folder / f"{number:08d}.log"
-        fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+        fd = self._files.append_to(_name(number))
         if self._fd >= 0:
-            os.close(self._fd)
+            self._files.close(self._fd)
         self._fd, self._current, self._sizes[number] = fd, number, 0
 
     def _compact(self) -> None:
@@ -169,10 +169,14 @@
         for ref in [ref for ref, home in self._home.items() if home == oldest]:
             self._write(_whole(self._entries[ref]))
             self._home[ref] = self._current
-        (self._folder / f"{oldest:08d}.log").unlink(missing_ok=True)
+        self._files.remove(_name(oldest))
         del self._sizes[oldest]
 
 
+def _name(number: int) -> str:
+    return f"{number:08d}.log"
+
+
 def _on_disk(size: int) -> int:
     """What a file of that size counts as: after many restarts there are many small ones."""
     return -(-size // 512) * 512
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,7 +19,7 @@
 from emberlatch.net import server as server_module
 from emberlatch.platform import Platform as Node
 from emberlatch.platform import read_config
-from emberlatch.store import Entry, Store
+from emberlatch.store import Entry, Folder, Store
 from tests.peers import (
     Exchange,
     Handler,
@@ -367,7 +367,7 @@
                 raise OSError(28, "No space left on device")
 
             with monkeypatch.context() as patch:
-                patch.setattr("emberlatch.store.journal.os.write", full)
+                patch.setattr("emberlatch.store.files.os.write", full)
                 assert await hand_in(port, "m1") == 503
                 assert target.seen.empty()
             assert await hand_in(port, "m2") == 202
@@ -584,7 +584,7 @@
 def test_a_journalled_message_of_an_unknown_class_ends(tmp_path: Path) -> None:
     async def test() -> None:
         (tmp_path / "state").mkdir()
-        store = Store(tmp_path / "state", 3_000_000)
+        store = Store(Folder(tmp_path / "state"), 3_000_000)
         store.load()
         store.take(Entry(1, "m1", "", "no-such-class", "acme", 7, time.time() + 10, b"x"))
         store.close()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from emberlatch.store import Doubt, Entry, Store
+from emberlatch.store import Doubt, Entry, Folder, Store
 
 
 def entry(ref: int, size: int = 10) -> Entry:
@@ -14,14 +14,14 @@
 
 
 def reread(folder: Path) -> dict[int, Entry]:
-    store = Store(folder, 3_000_000)
+    store = Store(Folder(folder), 3_000_000)
     entries = {e.ref: e for e in store.load()}
     store.close()
     return entries
 
 
 def test_what_is_owed_comes_back_whole(tmp_path: Path) -> None:
-    store = Store(tmp_path, 3_000_000)
+    store = Store(Folder(tmp_path), 3_000_000)
     store.load()
     one, two, three = entry(1), entry(2), entry(3)
     for each in (one, two, three):
@@ -35,7 +35,7 @@
 
 
 def test_a_torn_tail_costs_its_record_and_a_damaged_one_itself(tmp_path: Path) -> None:
-    store = Store(tmp_path, 3_000_000)
+    store = Store(Folder(tmp_path), 3_000_000)
     store.load()
     for ref in (1, 2, 3):
         store.take(entry(ref, 100))
@@ -47,7 +47,7 @@
 
 
 def test_a_damaged_length_does_not_hide_what_follows(tmp_path: Path) -> None:
-    store = Store(tmp_path, 3_000_000)
+    store = Store(Folder(tmp_path), 3_000_000)
     store.load()
     store.take(entry(1))
     store.take(entry(2))
@@ -60,7 +60,7 @@
 
 def test_the_limit_is_kept_also_while_it_compacts(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     limit, worst = 1_000_000, 0
-    store = Store(tmp_path, limit)
+    store = Store(Folder(tmp_path), limit)
     store.load()
     held: list[Entry] = []
     unlink = Path.unlink
@@ -95,7 +95,7 @@
     """Each start opens a segment, and a file of one byte counts as 512."""
     limit = 600_000
     for ref in range(300):
-        store = Store(tmp_path, limit)
+        store = Store(Folder(tmp_path), limit)
         store.load()
         if ref % 2:
             new = entry(ref, 2000)
