--- a/emberlatch/cli/main.py
+++ b/emberlatch/cli/main.py
@@ -14,6 +14,7 @@
 from emberlatch import __version__
 from emberlatch.cli.common import PATH, configuration, fail, listed, words
 from emberlatch.cli.demo import demo
+from emberlatch.cli.faults import faults
 from emberlatch.cli.inventory import inventory
 
 
@@ -25,6 +26,7 @@
 
 main.add_command(inventory)
 main.add_command(demo)
+main.add_command(faults)
 
 
 @main.command()
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -364,7 +364,7 @@
 
     def _outcome(self, event: api.Outcome) -> None:
         if (event.ref, event.attempt) not in self.calls:
-            return
+            return self._close(event.ref) if event.closed else None  # late, and yet it is delivered
         call = self.calls.pop((event.ref, event.attempt))
         message = call.messages.pop((event.ref, event.attempt))
         endpoint, route, result = call.endpoint, call.endpoint.route, event.result
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -49,7 +49,8 @@
         # The platform has no probes beside calls, so the module must not wait for one.
         self._settings = replace(settings, probes=False)
         self._forwarder = Forwarder(self._settings, seed)
-        self._tasks, self._store, self._wall = tasks, store, machine.wall
+        self._tasks, self._store, self._machine = tasks, store, machine
+        self._offset = 0.0  # of the journal's clock to that of the loop
         self._fronts: Sequence[Front]
         self._carrier: Carrier
         self._membership: Membership
@@ -74,8 +75,9 @@
     async def start(self) -> None:
         """Read the journal, go on with what it holds, then listen."""
         self._membership.start()
-        now = self._wall()
         entries = self._store.load()
+        self._offset = self._clock()
+        now = self._wall()
         for entry in entries:
             if entry.notice is not None:
                 self._ended[entry.ref] = entry
@@ -88,6 +90,21 @@
         for front in self._fronts:
             front.start()
 
+    def _clock(self) -> float:
+        """How far the journal's clock is ahead of the loop's, as it was first in this run of the machine.
+
+        Deadlines and the ages of doubts in the journal must not move when somebody sets the wall clock. The
+        loop's clock is not set, and outlasts the process, but not the machine's next start.
+        """
+        boot, offset = self._machine.boot(), self._machine.wall() - self._loop.time()
+        if boot and self._store.clock is not None and self._store.clock[0] == boot:
+            offset = self._store.clock[1]
+        self._store.clock = boot, offset
+        return offset
+
+    def _wall(self) -> float:
+        return self._loop.time() + self._offset
+
     async def stop(self) -> None:
         """Accept for a little longer, let open calls end, leave the rest to the journal."""
         began = self._loop.time()
--- a/emberlatch/engine/machine.py
+++ b/emberlatch/engine/machine.py
@@ -38,11 +38,21 @@
     return listener
 
 
+def boot() -> str:
+    """Linux's name for the time since the machine started; empty where there is none."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
+
+
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """The wall clock (Unix time in seconds), listening sockets, and folders that outlast the process."""
+    """The wall clock (Unix time in seconds), the name of the present run of the machine, in which the loop's
+    clock never jumps, listening sockets, and folders that outlast the process."""
 
     wall: Callable[[], float] = time.time
+    boot: Callable[[], str] = boot
     listen: Callable[[Address], Listener] = listen
     files: Callable[[Path], Files] = Folder
 
--- /dev/null
+++ b/emberlatch/faults/__init__.py
@@ -0,0 +1,21 @@
+"""Seeded fault runs: the forwarder's real code on a virtual clock, network and disk, held to the rules."""
+
+from emberlatch.faults.checks import Breach
+from emberlatch.faults.plan import Fault, Plan, PlanError, draw, parse
+from emberlatch.faults.run import Report, Verdict, digest, judge, play, shrink, sweep
+
+__all__ = [
+    "Breach",
+    "Fault",
+    "Plan",
+    "PlanError",
+    "Report",
+    "Verdict",
+    "digest",
+    "draw",
+    "judge",
+    "parse",
+    "play",
+    "shrink",
+    "sweep",
+]
--- /dev/null
+++ b/emberlatch/faults/disk.py
@@ -0,0 +1,118 @@
+"""A disk as the platform promises it: what was written outlasts the process, and nothing else is promised.
+
+It counts system calls. At a chosen one it may fail, write a part, or kill the process that made it, before
+the call, after it, or in the middle of a write.
+"""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from emberlatch.faults.loop import die
+
+
+class Moment(Enum):
+    """Where in a system call a process is killed."""
+
+    BEFORE = "before"
+    WITHIN = "within"  # a write has put down a part
+    AFTER = "after"
+
+
+@dataclass(slots=True)
+class Trouble:
+    """What befalls writes from now on; bytes are counted over all files, in whole blocks."""
+
+    room: int | None = None  # bytes in all files that the disk has; None: enough
+    failing: bool = False  # every write fails with EIO
+    short: bool = False  # writes put down a part at a time
+
+
+BLOCK = 512
+
+
+class Disk:
+    """One folder of one machine. `watch` is called after each call, with its number and its name."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, bytearray] = {}
+        self.calls = 0
+        self.trouble = Trouble()
+        self.kill_at: tuple[int, Moment] | None = None
+        self.most = 0  # bytes that were ever in it, in whole blocks
+        self.watch: Callable[[int, str], None] = lambda number, name: None
+        self._handles: dict[int, str] = {}
+        self._next = 3
+
+    @property
+    def used(self) -> int:
+        """Bytes in it, as they are counted: each file in whole blocks."""
+        return sum(-(-len(data) // BLOCK) * BLOCK for data in self.files.values())
+
+    def restart(self) -> None:
+        """The process is gone, and its handles with it."""
+        self._handles.clear()
+        self.kill_at = None
+
+    def _call(self, name: str) -> Moment | None:
+        """Count a call; the moment in it at which the process is to be killed, if it is."""
+        self.calls += 1
+        self.watch(self.calls, name)
+        if self.kill_at is None or self.calls != self.kill_at[0]:
+            return None
+        if self.kill_at[1] is Moment.BEFORE:
+            die()
+        return self.kill_at[1]
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        if self._call("read") is not None:
+            die()
+        if name not in self.files:
+            raise FileNotFoundError(errno.ENOENT, "no such file", name)
+        return bytes(self.files[name])
+
+    def append_to(self, name: str) -> int:
+        kill = self._call("open")
+        self.files.setdefault(name, bytearray())
+        self._next += 1
+        self._handles[self._next] = name
+        if kill is not None:
+            die()
+        return self._next
+
+    def write(self, handle: int, data: memoryview) -> int:
+        kill = self._call("write")
+        file = self.files[self._handles[handle]]
+        size = len(data)
+        if kill is Moment.WITHIN:
+            file += data[: size // 2]
+            die()
+        if self.trouble.failing:
+            raise OSError(errno.EIO, "input/output error")
+        if self.trouble.room is not None:
+            before = self.used
+            size = min(size, max(0, self.trouble.room - before + (-len(file) % BLOCK)))
+            if not size:
+                raise OSError(errno.ENOSPC, "no space left on device")
+        if self.trouble.short and size > 1:
+            size = (size + 1) // 2
+        file += data[:size]
+        self.most = max(self.most, self.used)
+        if kill is not None:
+            die()
+        return size
+
+    def close(self, handle: int) -> None:
+        self._handles.pop(handle, None)
+
+    def remove(self, name: str) -> None:
+        kill = self._call("remove")
+        self.files.pop(name, None)
+        if kill is not None:
+            die()
--- /dev/null
+++ b/emberlatch/faults/loop.py
@@ -0,0 +1,184 @@
+"""An event loop whose time moves only when nothing is ready, and never by itself.
+
+It is asyncio's own loop with a selector that has no descriptors: asked to wait, it moves the clock to the
+next timer. Connections come from a :class:`~emberlatch.faults.network.Network`. Threads, real sockets and
+real waits have no place in it and raise.
+
+Several processes share it. Each callback belongs to the process in whose context it was scheduled, and is
+dropped once that is dead, as the kernel would.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import functools
+import heapq
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, NoReturn
+
+if TYPE_CHECKING:
+    from emberlatch.faults.network import Network
+
+STEPS = 5_000_000  # callbacks after which a run that goes on is taken for one that never ends
+
+
+class Killed(BaseException):
+    """The process in which this is raised has been killed: what is on its stack unwinds, unheard."""
+
+
+class StuckError(Exception):
+    """Nothing is ready and nothing is due, though the run has not ended; or it does not end."""
+
+
+class Process:
+    """What is killed together: callbacks, connections, and a budget of system calls on the disk."""
+
+    def __init__(self, name: str, descriptors: int = 1 << 30) -> None:
+        self.name, self.alive, self.descriptors = name, True, descriptors
+        self.open: dict[Any, None] = {}  # its ends of connections
+        self.listeners: list[Any] = []
+        self.died: Callable[[], None] = lambda: None
+
+    def kill(self) -> None:
+        """End it: its connections are reset, and nothing of it runs again."""
+        if not self.alive:
+            return
+        self.alive = False
+        for listener in self.listeners:
+            listener.close()
+        for end in list(self.open):
+            end.vanish()
+        self.open.clear()
+        self.died()
+
+
+WORLD = Process("world")
+current: contextvars.ContextVar[Process] = contextvars.ContextVar("process", default=WORLD)
+OUTSIDE = contextvars.Context()
+"""The context of what happens between processes: nobody's death stops it."""
+
+
+def die() -> NoReturn:
+    """Kill the process that calls this."""
+    current.get().kill()
+    raise Killed
+
+
+class _Timers:
+    """Stands in for a selector: waiting moves the clock."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self._loop = loop
+
+    def select(self, timeout: float | None) -> list[Any]:
+        if timeout is None:
+            raise StuckError("nothing is ready and nothing is due")
+        if timeout > 0:
+            self._loop.advance()
+        return []
+
+    def close(self) -> None:
+        pass
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """See the module. `steps` counts the callbacks that have run."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._selector = _Timers(self)
+        self._now = 1000.0
+        self._clock_resolution = 1e-9
+        self.steps = 0
+        self.network: Network
+        self.set_exception_handler(self._failed)
+        self.tasks: list[asyncio.Task[Any]] = []  # all that ever were: none is dropped half-way
+        self.failures: list[str] = []  # what reached the loop's own handler
+
+    def time(self) -> float:
+        return self._now
+
+    def advance(self) -> None:
+        """Move the clock to the next timer."""
+        while self._scheduled and self._scheduled[0]._cancelled:  # type: ignore[attr-defined]
+            heapq.heappop(self._scheduled)._scheduled = False  # type: ignore[attr-defined]
+        if self._scheduled:  # type: ignore[attr-defined]
+            self._now = max(self._now, self._scheduled[0]._when)  # type: ignore[attr-defined]
+
+    def _process_events(self, event_list: list[Any]) -> None:
+        pass
+
+    def _write_to_self(self) -> None:
+        pass
+
+    def _failed(self, loop: asyncio.AbstractEventLoop, told: dict[str, Any]) -> None:
+        error = told.get("exception")
+        if error is None:  # a task that was dropped: its process is dead
+            return
+        if not isinstance(error, Killed) and current.get().alive:
+            self.failures.append(f"{told.get('message')}: {error!r}")
+
+    def _owned(self, callback: Callable[..., Any], context: contextvars.Context | None) -> Callable[..., Any]:
+        process = current.get() if context is None else context.get(current, WORLD)
+        return functools.partial(self._run_owned, process, callback)
+
+    def create_task(self, coro: Any, **more: Any) -> Any:
+        task = super().create_task(coro, **more)
+        self.tasks.append(task)
+        return task
+
+    def _run_owned(self, process: Process, callback: Callable[..., Any], *args: Any) -> Any:
+        self.steps += 1
+        if self.steps > STEPS:
+            raise StuckError(f"over {STEPS} steps")
+        if not process.alive:
+            return None
+        try:
+            return callback(*args)
+        except Killed:
+            return None
+
+    def call_soon(  # type: ignore[override]
+        self, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.Handle:
+        return super().call_soon(self._owned(callback, context), *args, context=context)
+
+    def call_at(  # type: ignore[override]
+        self, when: float, callback: Any, *args: Any, context: Any = None
+    ) -> asyncio.TimerHandle:
+        return super().call_at(when, self._owned(callback, context), *args, context=context)
+
+    async def create_connection(self, factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
+        return await self.network.connect(factory, (host, port))
+
+    async def create_server(self, factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:  # type: ignore[override]
+        return self.network.serve(factory, (host, port))
+
+    async def connect_accepted_socket(self, protocol_factory: Any, sock: Any, **_: Any) -> Any:
+        return sock.attach(protocol_factory)
+
+    def add_reader(self, fd: Any, callback: Any, *args: Any) -> None:  # type: ignore[override]
+        fd.readers(callback, args)
+
+    def remove_reader(self, fd: Any) -> bool:
+        fd.readers(None, ())
+        return True
+
+
+def _refuse(*_: Any, **__: Any) -> NoReturn:
+    raise RuntimeError("no threads, no real sockets and no signals on the virtual clock")
+
+
+for _name in (
+    "run_in_executor",
+    "getaddrinfo",
+    "sock_connect",
+    "add_writer",
+    "add_signal_handler",
+    "call_soon_threadsafe",
+    "subprocess_exec",
+    "connect_read_pipe",
+    "create_unix_server",
+):
+    setattr(VirtualLoop, _name, _refuse)
--- /dev/null
+++ b/emberlatch/faults/plan.py
@@ -0,0 +1,145 @@
+"""What befalls a universe: drawn from a seed, and written as text that can be edited and kept.
+
+A plan is lines of words. `seed`, `seconds`, `rate` and `forwarders` say how large it is; each line `fault
+FROM UNTIL WHAT WHOM [WITH]` is one fault, its times in seconds from the start (`-` where it has no end).
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+PARTNERS = ("p1", "p2", "p3")
+WINGS = ("east", "west")
+ENDPOINTS = tuple(f"{partner}-{wing}" for partner in PARTNERS for wing in WINGS)
+CALM_FROM = 13.0  # seconds: every drawn fault is over by then
+SECONDS = 32.0
+
+OF_ENDPOINTS = ("hang", "slow", "reset", "error", "full", "shut", "spoilt", "cut", "silent")
+"""Faults of an endpoint (`p1-east`), a partner (`p1`) or a wing (`east`)."""
+
+OF_DIRECTORY = ("directory-down", "directory-silent", "directory-late", "directory-garbled", "reports-down")
+OF_DISK = ("disk-full", "disk-failing", "disk-short")
+OF_PROCESS = ("kill", "term", "move", "kill-at", "wall")
+"""Of a forwarder (`f0`): SIGKILL, SIGTERM, discovery at another address by SIGHUP, SIGKILL at a system call
+of the disk (with how many calls from then, and where in it), a step of the wall clock (with seconds)."""
+
+OF_LIST = ("drain", "remove", "replace")
+"""Of an endpoint in the list: drained and back, removed and listed again, gone and another in its place."""
+
+KINDS = (*OF_ENDPOINTS, *OF_DIRECTORY, *OF_DISK, *OF_PROCESS, *OF_LIST)
+
+
+class PlanError(ValueError):
+    """A plan that can't be read; the text names the line and what would be right."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault; `until` is None where it has no end."""
+
+    since: float
+    until: float | None
+    what: str
+    whom: str
+    how: str = ""
+
+    def __str__(self) -> str:
+        end = "-" if self.until is None else f"{self.until:.3f}"
+        return f"fault {self.since:.3f} {end} {self.what} {self.whom}" + (f" {self.how}" if self.how else "")
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A universe: its seed draws traffic, latencies and partners; its faults are listed."""
+
+    seed: int
+    faults: tuple[Fault, ...] = ()
+    seconds: float = SECONDS
+    rate: float = 4.0  # messages a second to each forwarder
+    forwarders: int = 1
+
+    def __str__(self) -> str:
+        head = (
+            f"seed {self.seed}\nseconds {self.seconds:g}\nrate {self.rate:g}\nforwarders {self.forwarders}\n"
+        )
+        return head + "".join(f"{fault}\n" for fault in self.faults)
+
+    @property
+    def ends(self) -> float:
+        """When the last fault is over, and what it broke has had its time to come back."""
+        return max([fault.until or fault.since for fault in self.faults], default=0.0)
+
+    def without(self, dropped: Iterable[Fault]) -> Plan:
+        """The same universe with fewer faults."""
+        gone = set(dropped)
+        return replace(self, faults=tuple(fault for fault in self.faults if fault not in gone))
+
+
+def parse(text: str) -> Plan:
+    """Read a plan; raises PlanError."""
+    values: dict[str, float] = {}
+    faults: list[Fault] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        words = line.partition("#")[0].split()
+        if not words:
+            continue
+        try:
+            if words[0] == "fault":
+                faults.append(_fault(words[1:]))
+            elif words[0] in ("seed", "seconds", "rate", "forwarders") and len(words) == 2:
+                values[words[0]] = float(words[1])
+            else:
+                raise ValueError("a line is seed, seconds, rate or forwarders and a number, or a fault")
+        except ValueError as error:
+            raise PlanError(f"line {number}: {error}") from error
+    if "seed" not in values:
+        raise PlanError("no line names the seed")
+    plan = Plan(int(values.pop("seed")), tuple(faults))
+    forwarders = int(values.pop("forwarders", 1))
+    return replace(plan, forwarders=forwarders, **values)  # type: ignore[arg-type]
+
+
+def _fault(words: list[str]) -> Fault:
+    if len(words) < 4:
+        raise ValueError("a fault is: fault FROM UNTIL WHAT WHOM [WITH]")
+    since, until, what, whom, *how = words
+    if what not in KINDS:
+        raise ValueError(f"{what!r} is no fault; known are {', '.join(KINDS)}")
+    known = (*ENDPOINTS, *PARTNERS, *WINGS, "all", *(f"f{n}" for n in range(8)))
+    if whom not in known:
+        raise ValueError(f"{whom!r} is nobody; known are {', '.join(known[:12])}")
+    return Fault(float(since), None if until == "-" else float(until), what, whom, " ".join(how))
+
+
+def draw(seed: int) -> Plan:
+    """The plan of a seed: three to six faults, the first three of which overlap at one moment."""
+    chance = random.Random(f"plan {seed}")
+    forwarders = chance.choice((1, 1, 2))
+    meet = chance.uniform(4.0, 9.0)
+    faults = []
+    for number in range(chance.randint(3, 6)):
+        since = chance.uniform(1.0, meet) if number < 3 else chance.uniform(1.0, CALM_FROM - 2)
+        least = meet if number < 3 else since + 0.5
+        until = chance.uniform(max(least, since + 0.3), CALM_FROM)
+        faults.append(_drawn(chance, since, until, forwarders))
+    return Plan(seed, tuple(sorted(faults, key=lambda f: (f.since, f.what, f.whom))), forwarders=forwarders)
+
+
+def _drawn(chance: random.Random, since: float, until: float, forwarders: int) -> Fault:
+    family = chance.choices((OF_ENDPOINTS, OF_DIRECTORY, OF_DISK, OF_PROCESS, OF_LIST), (10, 3, 1, 5, 4))[0]
+    what = chance.choice(family)
+    whom, how = "all", ""
+    if family is OF_ENDPOINTS:
+        whom = chance.choice(ENDPOINTS + PARTNERS * 2 + WINGS)
+    elif family is OF_LIST:
+        whom = chance.choice(ENDPOINTS)
+    elif family is OF_DISK or family is OF_PROCESS:
+        whom = f"f{chance.randrange(forwarders)}"
+    if what == "kill-at":
+        how = f"{chance.randint(1, 60)} {chance.choice(('before', 'within', 'after'))}"
+    elif what == "wall":
+        how = f"{chance.choice((-3600, -5, 5, 3600))}"
+    ends = family not in (OF_PROCESS,)
+    return Fault(round(since, 3), round(until, 3) if ends else None, what, whom, how)
--- /dev/null
+++ b/emberlatch/faults/run.py
@@ -0,0 +1,158 @@
+"""Plays a plan to its end and says what was broken."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import logging
+from collections import deque
+from collections.abc import Iterable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass
+from multiprocessing import get_context
+from typing import Any
+
+from emberlatch.faults.checks import Breach
+from emberlatch.faults.loop import Killed, StuckError, VirtualLoop, current
+from emberlatch.faults.plan import Plan, draw
+from emberlatch.faults.world import World
+
+LAST_EVENTS = 8  # of the trace, that are told with a breach
+CHUNK = 20  # seeds that a process plays at once
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What came of a plan: its breaches in order, its trace, and how much happened."""
+
+    plan: Plan
+    breaches: tuple[Breach, ...]
+    trace: tuple[tuple[Any, ...], ...]
+    steps: int
+    messages: int
+
+    @property
+    def lines(self) -> Iterator[str]:
+        """The trace as text, the same to the byte in every replay."""
+        for at, *what in self.trace:
+            yield f"{at:.6f} {' '.join(map(str, what))}"
+
+
+class _Exceptions(logging.Handler):
+    """An exception that the forwarder caught and wrote into its log is a defect all the same."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__(logging.ERROR)
+        self._world = world
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        if error is not None and not isinstance(error, Killed) and current.get().alive:
+            self._world.breach("crash", f"{record.getMessage()[:80]}: {error!r}")
+
+
+def play(plan: Plan) -> Report:
+    """Run a universe in this thread."""
+    loop = VirtualLoop()
+    world = World(plan, loop)
+    listener = _Exceptions(world)
+    logger = logging.getLogger("emberlatch")
+    logging.disable(logging.WARNING)  # what a forwarder writes of faults is of no interest here
+    propagate, logger.propagate = logger.propagate, False
+    logger.addHandler(listener)
+    try:
+        loop.run_until_complete(world.run())
+    except StuckError as error:
+        world.breach("stuck", str(error))
+    finally:
+        logger.removeHandler(listener)
+        logging.disable(logging.CRITICAL)
+        _abandon(loop)
+        logging.disable(logging.NOTSET)
+        logger.propagate = propagate
+    return Report(plan, tuple(world.breaches), tuple(world.trace), loop.steps, len(world.checks.messages))
+
+
+def _abandon(loop: VirtualLoop) -> None:
+    """Leave a universe: what still waits in it, also of processes that were killed, ends within its loop."""
+
+    async def end() -> None:
+        for task in loop.tasks:
+            if task is not asyncio.current_task() and not task.done():
+                task._log_destroy_pending = False  # type: ignore[attr-defined]
+                with contextlib.suppress(BaseException):
+                    task.get_coro().close()
+
+    loop.set_exception_handler(lambda *_: None)
+    loop.run_until_complete(end())
+    loop._ready.clear()  # type: ignore[attr-defined]
+    loop._scheduled.clear()  # type: ignore[attr-defined]
+    loop.close()
+
+
+def digest(report: Report) -> str:
+    """A short name of a trace: the same for the same seed, in every process."""
+    hashed = hashlib.blake2b(digest_size=8)
+    for line in report.lines:
+        hashed.update(line.encode() + b"\n")
+    return hashed.hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a runner keeps of a seed."""
+
+    seed: int
+    breaches: tuple[Breach, ...]
+    last: tuple[str, ...]  # of the trace, up to the first breach
+    steps: int
+    messages: int
+    digest: str
+
+
+def judge(seed: int) -> Verdict:
+    """Play the plan of a seed; what is kept can be sent between processes."""
+    report = play(draw(seed))
+    last: list[str] = []
+    if report.breaches:
+        lines = (line for line in report.lines if float(line.split(" ", 1)[0]) <= report.breaches[0].at)
+        last = list(deque(lines, maxlen=LAST_EVENTS))
+    return Verdict(seed, report.breaches, tuple(last), report.steps, report.messages, digest(report))
+
+
+def sweep(seeds: Sequence[int], jobs: int) -> Iterator[Verdict]:
+    """Play many seeds on so many processes; verdicts come as they are ready."""
+    if jobs == 1:
+        yield from map(judge, seeds)
+        return
+    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+        running = [pool.submit(_chunk, seeds[at : at + CHUNK]) for at in range(0, len(seeds), CHUNK)]
+        for done in as_completed(running):
+            yield from done.result()
+
+
+def _chunk(seeds: Sequence[int]) -> list[Verdict]:
+    return [judge(seed) for seed in seeds]
+
+
+def shrink(plan: Plan, rule: str) -> Plan:
+    """The fewest faults of a plan that still break that rule: what can be left out is left out."""
+    changed = True
+    while changed:
+        changed = False
+        for part in _parts(plan):
+            smaller = plan.without(part)
+            if any(breach.rule == rule for breach in play(smaller).breaches):
+                plan, changed = smaller, True
+                break
+    return plan
+
+
+def _parts(plan: Plan) -> Iterable[list[Any]]:
+    """Halves, quarters and so on down to single faults."""
+    size = len(plan.faults) // 2
+    while size >= 1:
+        for at in range(0, len(plan.faults), size):
+            yield list(plan.faults[at : at + size])
+        size //= 2
--- /dev/null
+++ b/emberlatch/faults/world.py
@@ -0,0 +1,521 @@
+"""A universe: forwarders with their real code, and stand-ins for everybody else, all drawn from one seed.
+
+What passes on the wires goes to the checks and into the trace, in the order in which it happens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import json
+import random
+from collections import deque
+from collections.abc import Coroutine, Iterable, Sized
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from emberlatch.core.interface import Fail, Refuse
+from emberlatch.engine import Machine
+from emberlatch.faults.checks import Breach, Checks, Figures
+from emberlatch.faults.clients import Clients
+from emberlatch.faults.disk import Disk, Moment
+from emberlatch.faults.loop import Process, VirtualLoop, current
+from emberlatch.faults.network import Network
+from emberlatch.faults.plan import ENDPOINTS, OF_ENDPOINTS, PARTNERS, Fault, Plan
+from emberlatch.net.http import parse_address
+from emberlatch.platform import Config, Platform
+from emberlatch.simlink import wire
+from emberlatch.standins import (
+    Behaviour,
+    Condition,
+    Directory,
+    DirectoryServer,
+    Fate,
+    Message,
+    Partner,
+    PartnerServer,
+)
+from emberlatch.standins.behaviour import OUTAGES, Keys
+
+SLOTS, DISK_MB = 8, 0.4
+DOWN_FOR = 0.6  # seconds from SIGKILL to the next start
+STOP_FOR = 3.7  # seconds from SIGTERM to SIGKILL
+OLD_PLACE = 1.5  # seconds for which a directory that has moved keeps its connections
+TICK = 0.5  # seconds between looks at what time alone decides
+HUNG = 6.0  # seconds of silence after which an endpoint's calls count as stuck
+LAST = 14.0  # seconds that the last messages may take
+CALM = 15.0  # seconds after the last fault until service is to be as before: a return, and a message's time
+SERVED = 0.3  # share of the calm messages that must be delivered in time: few, and a pace recovers slowly
+
+KINDS = {"note": "safe", "payout": "keyed", "order": "unsafe"}
+WINDOW = 8.0  # seconds, of payouts
+
+SETTINGS: dict[str, Any] = {
+    "allowed": {
+        "cancel": True,
+        "conn-idle": 15.0,
+        "connect-timeout": 1.0,
+        "max-attempts": 6,
+        "max-retry-after": 2.0,
+        "open-cap": 80,
+        "probes": False,
+        "retry-after": True,
+        "second-copies": True,
+    },
+    "balancers": 2,
+    "categories": [
+        {
+            "name": "note",
+            "idempotency": "read_like",
+            "target": 3.0,
+            "deadline": 12.0,
+            "gain": 3.0,
+            "late-value": 0.5,
+        },
+        {
+            "name": "payout",
+            "idempotency": "idempotency_key",
+            "dedup-scope": "zone",
+            "window": WINDOW,
+            "target": 4.0,
+            "deadline": 12.0,
+            "gain": 1.0,
+            "late-value": 0.4,
+        },
+        {"name": "order", "idempotency": "non_idempotent", "target": 3.0, "deadline": 12.0},
+    ],
+    "discovery": "ask",
+    "extra": {"per-call": [4, 1], "separate-routes": [True, True], "workers": SLOTS},
+    "failure-domains": ["east", "west"],
+    "machine-types": ["operator", "bank"],
+    "report": {"fields": ["x0", "x1"], "how": "inline"},
+    "round": 0.005,
+    "rules": {
+        "answer-slack": 0.02,
+        "ask-every": 10.0,
+        "cold": 8.0,
+        "cold-from": 0.27,
+        "drain-grace": 0.5,
+        "fall-multiple": 1.5,
+        "tip-after": 3.0,
+    },
+    "tenants": [{"name": "acme", "allowance-per-s": 10.0}],
+}
+DECODED = wire.decode_settings(json.dumps(SETTINGS).encode())
+BEHAVIOURS = {
+    "p1": Behaviour(work=0.08, workers=1, queue=12, limit=9.0, wait=0.4, window=WINDOW, cold=8.0),
+    "p2": Behaviour(work=0.10, workers=1, queue=3, window=WINDOW, cold=8.0),
+    "p3": Behaviour(work=0.12, workers=1, queue=2, window=WINDOW, cold=8.0),
+}
+
+
+class Endpoint:
+    """An endpoint, what befalls it, and what passes on its wires."""
+
+    def __init__(self, world: World, name: str, keys: Keys) -> None:
+        self.world, self.name = world, name
+        self.partner = Partner(BEHAVIOURS[name[:2]], keys, seed=world.plan.seed)
+        self.server = PartnerServer(self.partner, self)
+        self.troubles: list[str] = []
+        self.since = 0.0  # when the present condition began
+        self.load: deque[tuple[float, str]] = deque()
+
+    async def change(self) -> None:
+        """Be as the last trouble that has not ended says."""
+        told = [trouble for trouble in self.troubles if trouble != "silent"]
+        condition = Condition(told[-1]) if told else Condition.WELL
+        if condition is not self.partner.condition:
+            self.since = self.world.now
+        if condition in OUTAGES:
+            self.world.checks.struck(self.name)
+        await self.server.become(condition)
+
+    def hangs(self, now: float) -> bool:
+        """Whether it has been silent for long."""
+        return self.partner.condition is Condition.HANG and now - self.since > HUNG
+
+    def called(self, number: int, process: str, messages: list[Message]) -> None:
+        world = self.world
+        ids = [message.id for message in messages]
+        world.note("call", self.name, number, process, *ids)
+        self.load.append((world.now, process))
+        while self.load[0][0] < world.now - self.partner.behaviour.fall_after:
+            self.load.popleft()
+        world.checks.called(world.now, process, self.name, number, ids)
+
+    def answered(self, number: int, fate: Fate) -> None:
+        self.world.note("answer", self.name, number, fate.status, fate.retry_after)
+        heard = "silent" not in self.troubles
+        self.world.checks.replied(
+            self.world.now, self.name, number, fate.status, fate.whole, fate.retry_after, heard
+        )
+
+    def ended(self, number: int) -> None:
+        self.world.note("broke", self.name, number)
+        self.world.checks.broke(self.world.now, self.name, number)
+
+    def look(self) -> None:
+        """If it has been pushed over, say by whom; and let it come back, so that it is said once."""
+        if self.partner.fallen:
+            self.world.checks.fell(self.world.now, self.name, [who for _, who in self.load])
+            self.partner.fallen = False
+
+
+@dataclass
+class Forwarder:
+    """A forwarder of the universe: its machine outlives its processes."""
+
+    world: World
+    name: str
+    address: tuple[str, int]
+    disk: Disk = field(default_factory=Disk)
+    offset: float = 0.0  # of its wall clock
+    process: Process | None = None
+    platform: Platform | None = None
+    spans: list[tuple[float, float]] = field(default_factory=list)  # in which nothing is overdue
+    began: float = -1.0  # when the present stop or restart began, or -1
+
+    def start(self) -> None:
+        """Start a process on what the disk holds."""
+        self.disk.restart()
+        process = self.process = Process(self.name, descriptors=256)
+        process.died = self._died
+        self.run(self._boot(process))
+
+    def run(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something in the present process."""
+        context = contextvars.copy_context()
+        assert self.process is not None
+        context.run(current.set, self.process)
+        self.world.loop.create_task(work, context=context)
+
+    async def _boot(self, process: Process) -> None:
+        world = self.world
+        known = world.directory.document()
+        config = Config(
+            listen=self.address,
+            discovery=parse_address(world.service.address),
+            state=Path(self.name),
+            seed=world.plan.seed,
+            most_clients=100,
+            most_calls=100,
+            journal_bytes=int(DISK_MB * 1e6),
+            known=known,
+            raw_settings=SETTINGS,
+            settings=DECODED,
+        )
+        machine = Machine(
+            lambda: 1.8e9 + world.loop.time() + self.offset,
+            lambda: "one",
+            world.network.listen,
+            lambda _: self.disk,
+        )
+        try:
+            platform = self.platform = Platform(config, machine)
+            self._observe(platform)
+            await platform.start()
+        except Exception as error:
+            world.breach("crash", f"{self.name} did not start: {error!r}")
+            return
+        draining = [m["id"] for m in known["members"] if m["phase"] != "SERVING"]
+        if self.began >= 0:
+            self.spans.append((self.began, world.now + 1.5))
+            self.began = -1.0
+        world.checks.up(world.now, self.name, draining)
+        world.note("up", self.name)
+
+    def _observe(self, platform: Platform) -> None:
+        """Hear when the module ends a message: the one thing that the wires do not tell."""
+        forwarder, engine = platform.engine._forwarder, platform.engine
+        handle = forwarder.handle
+
+        def observed(now: float, events: Iterable[Any]) -> list[Any]:
+            actions = handle(now, events)
+            for action in actions:
+                if isinstance(action, Refuse | Fail) and (entry := engine._held.get(action.ref)) is not None:
+                    self.world.checks.given_up(self.world.now, entry.id)
+            return actions
+
+        forwarder.handle = observed  # type: ignore[method-assign]
+
+    def _died(self) -> None:
+        world = self.world
+        world.note("down", self.name)
+        world.checks.down(world.now, self.name)
+        self.began = self.began if self.began >= 0 else world.now
+        world.network.after(DOWN_FOR, self.start)
+
+    def kill(self) -> None:
+        """SIGKILL."""
+        if self.process is not None:
+            self.process.kill()
+
+    def term(self) -> None:
+        """SIGTERM, and SIGKILL if it has not ended by then."""
+        process, platform = self.process, self.platform
+        if process is None or not process.alive or platform is None or self.began >= 0:
+            return
+        self.began = self.world.now
+        self.world.checks.stopping(self.world.now, self.name)
+
+        async def stop() -> None:
+            await platform.stop()
+            process.kill()
+
+        self.run(stop())
+        self.world.network.after(STOP_FOR, process.kill)
+
+    def hang_up(self) -> None:
+        """SIGHUP with the directory at its present address."""
+        if self.process is not None and self.process.alive and self.platform is not None:
+            platform, address = self.platform, parse_address(self.world.service.address)
+
+            async def move() -> None:
+                platform.move(address)
+
+            self.run(move())
+
+
+class World:
+    """See the module."""
+
+    def __init__(self, plan: Plan, loop: VirtualLoop) -> None:
+        self.plan, self.loop = plan, loop
+        self.network = Network(loop, plan.seed)
+        self.random = random.Random(f"world {plan.seed}")
+        self.began = loop.time()
+        self.trace: list[tuple[Any, ...]] = []
+        self.extra: list[Breach] = []
+        names = [*ENDPOINTS, *(f"{name}.2" for name in ENDPOINTS)]
+        wings = {name: name.partition("-")[2].partition(".")[0] for name in names}
+        figures = Figures(SLOTS, DECODED.rules.drain_grace, KINDS, {"keyed": WINDOW}, wings)
+        self.checks = Checks(figures)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.keys = {(p, w): Keys(WINDOW) for p in PARTNERS for w in ("east", "west")}
+        self.directory = Directory(tap=self)
+        self.service = DirectoryServer(self.directory)
+        self.forwarders = {
+            f"f{n}": Forwarder(self, f"f{n}", (f"10.1.0.{n + 1}", 5000)) for n in range(plan.forwarders)
+        }
+        self.clients = [
+            Clients(self, forwarder.name, forwarder.address) for forwarder in self.forwarders.values()
+        ]
+
+    @property
+    def now(self) -> float:
+        """Seconds since the universe began."""
+        return self.loop.time() - self.began
+
+    def note(self, *what: Any) -> None:
+        """Write into the trace."""
+        self.trace.append((self.now, *what))
+
+    def breach(self, rule: str, text: str) -> None:
+        """Something that no wire tells."""
+        self.extra.append(Breach(rule, self.now, text))
+
+    @property
+    def breaches(self) -> list[Breach]:
+        """All that was wrong so far, in order."""
+        return sorted([*self.checks.breaches, *self.extra], key=lambda b: b.at)
+
+    async def run(self) -> None:
+        """Play the plan to its end."""
+        for name in ENDPOINTS:
+            await self._add(name)
+        await self.service.start()
+        for forwarder in self.forwarders.values():
+            forwarder.start()
+        for fault in self.plan.faults:
+            self.network.after(fault.since, self._begin, fault)
+            if fault.until is not None:
+                self.network.after(fault.until, self._end, fault)
+        ticking = self.loop.create_task(self._tick())
+        handing = [self.loop.create_task(client.run(self.plan.seconds)) for client in self.clients]
+        await asyncio.gather(*handing)
+        last = self.now + LAST
+        while self.now < last and (any(client.busy for client in self.clients) or self._holding()):
+            await asyncio.sleep(TICK)
+        ticking.cancel()
+        self._judge()
+
+    def _holding(self) -> bool:
+        return any(
+            f.platform is None or f.platform.engine._held or f.platform.engine._ended
+            for f in self.forwarders.values()
+        )
+
+    async def _add(self, name: str) -> None:
+        endpoint = self.endpoints[name] = Endpoint(
+            self, name, self.keys[name[:2], name.partition("-")[2][:4]]
+        )
+        await endpoint.server.start()
+        partner = PARTNERS.index(name[:2])
+        self.directory.change(
+            name,
+            host_port=endpoint.server.address,
+            locality=name.partition("-")[2][:4],
+            flavor="operator" if partner == 0 else "bank",
+            cell=partner + 1,
+            phase="SERVING",
+            size=1.0,
+            up_since_ms=0,
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            self.checks.tick(self.now, {e.name for e in self.endpoints.values() if e.hangs(self.now)})
+            for endpoint in self.endpoints.values():
+                endpoint.look()
+
+    # What the directory's tap hears.
+
+    def told(self, process: str, members: list[dict[str, Any]]) -> None:
+        self.note("told", process, *(f"{m['id']}={m['phase']}" for m in members))
+        for member in members:
+            self.checks.told(self.now, process, member["id"], member["phase"] == "SERVING")
+
+    def noticed(self, process: str, notice: dict[str, Any]) -> None:
+        self.note("notice", process, notice["ref"], notice["result"])
+        self.checks.noticed(self.now, process, notice["ref"], notice["result"])
+
+    # Faults.
+
+    def _begin(self, fault: Fault) -> None:
+        self.note("fault", str(fault))
+        self._apply(fault, True)
+
+    def _end(self, fault: Fault) -> None:
+        self.note("over", str(fault))
+        self._apply(fault, False)
+
+    def _apply(self, fault: Fault, begins: bool) -> None:
+        what = fault.what
+        if what in OF_ENDPOINTS:
+            self._befall(fault, begins)
+        elif what == "reports-down":
+            self.directory.reports_down = begins
+        elif what.startswith("directory-"):
+            self._directory(what.partition("-")[2], begins)
+        elif what.startswith("disk-"):
+            self._disk(fault.whom, what.partition("-")[2], begins)
+        elif what in ("drain", "remove", "replace"):
+            self._list(fault, begins)
+        else:
+            self._process(fault)
+
+    def _befall(self, fault: Fault, begins: bool) -> None:
+        for endpoint in self.endpoints.values():
+            plain = endpoint.name.partition(".")[0]
+            if fault.whom not in (plain, plain[:2], plain.partition("-")[2], "all"):
+                continue
+            if begins:
+                endpoint.troubles.append(fault.what)
+            elif fault.what in endpoint.troubles:
+                endpoint.troubles.remove(fault.what)
+            address = parse_address(endpoint.server.address)
+            if fault.what != "silent":
+                self.loop.create_task(endpoint.change())
+            elif begins:
+                self.checks.cut(self.now, endpoint.name)
+                self.network.isolate(address)
+            elif "silent" not in endpoint.troubles:
+                self.network.rejoin(address)
+
+    def _directory(self, what: str, begins: bool) -> None:
+        if what == "late":
+            self.directory.late = 1.5 if begins else 0.0
+        else:
+            setattr(self.directory, what, begins)
+        self.directory.wake()
+
+    def _disk(self, who: str, what: str, begins: bool) -> None:
+        disk = self.forwarders[who].disk
+        if what != "short":
+            self.checks.disk(self.now, who, not begins)
+        if what == "full":
+            disk.trouble.room = disk.used + 4096 if begins else None
+        else:
+            setattr(disk.trouble, what, begins)
+
+    def _list(self, fault: Fault, begins: bool) -> None:
+        name = fault.whom
+        if fault.what == "drain":
+            self.directory.change(name, phase="DRAINING" if begins else "SERVING")
+        elif fault.what == "remove":
+            self.directory.change(name, phase="DELETED" if begins else "SERVING")
+        elif begins:
+            self.directory.change(name, phase="DELETED")
+            if f"{name}.2" not in self.endpoints:
+                self.loop.create_task(self._add(f"{name}.2"))
+
+    def _process(self, fault: Fault) -> None:
+        forwarder = self.forwarders.get(fault.whom)
+        if forwarder is None:
+            return
+        match fault.what:
+            case "kill":
+                forwarder.kill()
+            case "term":
+                forwarder.term()
+            case "wall":
+                forwarder.offset += float(fault.how)
+            case "kill-at":
+                after, moment = fault.how.split()
+                forwarder.disk.kill_at = forwarder.disk.calls + int(after), Moment(moment)
+            case "move":
+                self.loop.create_task(self._move())
+
+    async def _move(self) -> None:
+        old, self.service = self.service, DirectoryServer(self.directory)
+        await self.service.start()
+        old.stop(at_once=False)
+        self.network.after(OLD_PLACE, old.stop)
+        for forwarder in self.forwarders.values():
+            forwarder.hang_up()
+
+    # The end.
+
+    def _judge(self) -> None:
+        for name, forwarder in self.forwarders.items():
+            deaf = [(f.since, (f.until or 0.0) + 1.2) for f in self.plan.faults if f.what == "reports-down"]
+            self.checks.lives(name, forwarder.spans + deaf)
+            if forwarder.disk.most > DISK_MB * 1e6:
+                self.breach("disk", f"{name} had {forwarder.disk.most} bytes on a disk of {DISK_MB:g} MB")
+            if forwarder.platform is not None:
+                self._emptied(name, forwarder.platform)
+        self.checks.overdue(self.now)
+        for failure in self.loop.failures:
+            self.breach("crash", failure)
+        self._service()
+
+    def _emptied(self, name: str, platform: Platform) -> None:
+        """After all has calmed, nothing is left of what was held."""
+        engine, module = platform.engine, platform.engine._forwarder
+        tables: dict[str, Sized] = {
+            "held": engine._held,
+            "ended": engine._ended,
+            "arriving": engine._arriving,
+            "ids": engine._ids,
+            "open": module.open,
+            "calls": module.calls,
+            "leaving targets": platform.targets._leaving,
+        }
+        left = {table: len(rows) for table, rows in tables.items() if rows}
+        leases = sum(pool.leases for pool in module.pools.values())
+        if leases or module.free != SLOTS:
+            left["leases"] = leases or SLOTS - module.free
+        if left:
+            self.breach("memory", f"{name} still has {left}")
+
+    def _service(self) -> None:
+        """After the last fault and the time of a return, service is as if there had been none."""
+        calm = self.plan.ends + CALM
+        for clients in self.clients:
+            served = [d for at, d in clients.served(calm, self.plan.seconds - 4.0, self.checks.messages)]
+            if len(served) >= 8 and sum(served) < SERVED * len(served):
+                self.breach(
+                    "liveness", f"{clients.name} served {sum(served)} of {len(served)} when all was calm"
+                )
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -179,6 +179,9 @@
             for item in list(call.pending):
                 result, closed = ENDS.get(ends.get(item.id, ""), (Result.ERROR, False))
                 call.settle(item, result, closed, hold, report)
+            for item in call.late:
+                if ENDS.get(ends.get(item.id, ""), (Result.ERROR, False))[1]:
+                    call.tell(item, Result.OK, closed=True)
             return
         result, closed = STATUSES.get(response.status, (Result.ERROR, False))
         if response.status == 503 and response.headers.get("slots-taken") == "1":
@@ -240,6 +243,7 @@
         self.target, self.items = target, items
         self._started = asyncio.get_running_loop().time()
         self.pending = {item: self._started + item.timeout for item in items}
+        self.late: list[Item] = []  # timed out while the call goes on for others: its answer may still say ok
         self._report = report
 
     async def wait_for(self, step: asyncio.Future[Any], written: Callable[[], bool]) -> None:
@@ -251,6 +255,7 @@
                 now, late = loop.time(), Result.TIMEOUT if written() else Result.CONNECT_FAILED
                 for item in [item for item, end in self.pending.items() if end <= now]:
                     self.settle(item, late)
+                    self.late.append(item)
 
     def settle_all(
         self, result: Result, closed: bool = False, hold: float = 0.0, report: tuple[float, ...] = ()
@@ -267,6 +272,17 @@
         report: tuple[float, ...] = (),
     ) -> None:
         del self.pending[item]
+        self.tell(item, result, closed, hold, report)
+
+    def tell(
+        self,
+        item: Item,
+        result: Result,
+        closed: bool = False,
+        hold: float = 0.0,
+        report: tuple[float, ...] = (),
+    ) -> None:
+        """Report an outcome; of an item that has had one, only that it is over after all."""
         took = asyncio.get_running_loop().time() - self._started
         note = round(hold * 1000)
         self._report(Outcome(item.ref, item.attempt, self.target, result, took, closed, hold, note, report))
--- a/emberlatch/standins/__init__.py
+++ b/emberlatch/standins/__init__.py
@@ -1,6 +1,17 @@
 """Stand-ins for the systems outside, on loopback addresses: for tests, demos and benchmarks."""
 
 from emberlatch.standins.behaviour import Behaviour, Condition, Fate, Message, Partner
-from emberlatch.standins.partner import PartnerServer
+from emberlatch.standins.directory import Directory, DirectoryServer
+from emberlatch.standins.partner import PartnerServer, Tap
 
-__all__ = ["Behaviour", "Condition", "Fate", "Message", "Partner", "PartnerServer"]
+__all__ = [
+    "Behaviour",
+    "Condition",
+    "Directory",
+    "DirectoryServer",
+    "Fate",
+    "Message",
+    "Partner",
+    "PartnerServer",
+    "Tap",
+]
--- a/emberlatch/standins/behaviour.py
+++ b/emberlatch/standins/behaviour.py
@@ -28,6 +28,8 @@
     ERROR = "error"  # answers 500
     FULL = "full"  # answers 503, with a wait
     SHUT = "shut"  # refuses connections
+    SPOILT = "spoilt"  # does the work and answers noise
+    CUT = "cut"  # does the work, answers a first line with 200, and breaks the connection
 
 
 OUTAGES = {Condition.HANG, Condition.RESET, Condition.ERROR, Condition.FULL, Condition.SHUT}
@@ -67,6 +69,7 @@
     status: int = 200
     retry_after: float = 0.0
     report: tuple[float, float] | None = None  # x0, x1
+    whole: bool = True  # False: the answer is noise, or ends behind its first line
 
 
 class Keys:
@@ -144,7 +147,9 @@
         ends = begins + work * (1 + 0.35 * (len(messages) - 1))
         heapq.heappush(self._busy, ends)
         self._run(ends, messages)
-        return Fate(ends, 200, report=report)
+        if self.condition is Condition.SPOILT:
+            return Fate(ends, -1, whole=False)
+        return Fate(ends, 200, report=report, whole=self.condition is not Condition.CUT)
 
     def _run(self, at: float, messages: Sequence[Message]) -> None:
         for message in messages:
--- a/emberlatch/standins/partner.py
+++ b/emberlatch/standins/partner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from typing import Protocol
 
 import httptools
 
@@ -12,11 +13,25 @@
 MOST_BODY = 1 << 20
 
 
+class Tap(Protocol):
+    """Hears what passes on the connections of an endpoint; each call is known by a number of its own."""
+
+    def called(self, number: int, process: str, messages: list[Message]) -> None:
+        """The last byte of a call has come from a process."""
+
+    def answered(self, number: int, fate: Fate) -> None:
+        """Its answer is written, as far as it goes."""
+
+    def ended(self, number: int) -> None:
+        """Its connection ended before any answer."""
+
+
 class PartnerServer:
     """Listens for one endpoint; what befalls it is set with `become`."""
 
-    def __init__(self, partner: Partner) -> None:
-        self.partner = partner
+    def __init__(self, partner: Partner, tap: Tap | None = None) -> None:
+        self.partner, self.tap = partner, tap
+        self.calls = 0
         self.connections = 0
         self._open: set[_Connection] = set()
         self._server: asyncio.Server | None = None
@@ -68,6 +83,7 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._path, self._headers, self._body = b"", dict[bytes, bytes](), bytearray()
+        self._number = 0  # of the call that is out, if one is
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -76,6 +92,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.left(self)
+        if self._number and self._server.tap is not None:
+            self._server.tap.ended(self._number)
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -103,6 +121,11 @@
         if not messages:
             return self._answer(Fate(0.0, 400), [], batch)
         loop = asyncio.get_running_loop()
+        self._server.calls += 1
+        self._number = self._server.calls
+        if self._server.tap is not None:
+            process = self.transport.get_extra_info("peer_process", "")
+            self._server.tap.called(self._number, process, messages)
         fate = self._server.partner.call(loop.time(), messages)
         if fate.at < math.inf:
             loop.call_at(fate.at, self._answer, fate, messages, batch)
@@ -117,6 +140,14 @@
             return
         if fate.status == 0:
             return self.transport.abort()
+        if self._number and self._server.tap is not None:
+            self._server.tap.answered(self._number, fate)
+        self._number = 0
+        if not fate.whole:
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-" if fate.status == 200 else b"\x00noise\r\n\r\n"
+            )
+            return self.transport.close() if fate.status == 200 else None
         body = "".join(f"{m.id} ok\r\n" for m in messages) if batch and fate.status == 200 else ""
         head = f"HTTP/1.1 {fate.status} X\r\nContent-Length: {len(body)}\r\n"
         if fate.retry_after:
--- a/emberlatch/store/journal.py
+++ b/emberlatch/store/journal.py
@@ -67,6 +67,7 @@
         self._sizes: dict[int, int] = {}  # segment -> bytes, oldest first
         self._home: dict[int, int] = {}  # message -> segment that holds its body
         self._entries: dict[int, Entry] = {}
+        self.clock: tuple[str, float] | None = None  # a run of the machine, and what its clock is behind
         self._live = 0
         self._current = 0
         self._fd = -1
@@ -95,6 +96,9 @@
     def _replay(self, number: int, payload: bytes) -> None:
         head, _, body = payload.partition(b"\n")
         state = json.loads(head)
+        if "clock" in state:
+            self.clock = str(state["clock"][0]), float(state["clock"][1])
+            return
         ref, whole = int(state["ref"]), "id" in state
         if state.get("over"):
             self._entries.pop(ref, None)
@@ -144,6 +148,11 @@
     def _write(self, record: bytes) -> None:
         if self._sizes[self._current] >= self._segment_size:
             self._roll()
+        if not self._sizes[self._current] and self.clock is not None:
+            self._put(_record({"clock": self.clock}))  # in each segment, for any may be the only one left
+        self._put(record)
+
+    def _put(self, record: bytes) -> None:
         # A write cut short leaves a torn record, which replay passes over at the next mark.
         view = memoryview(record)
         while view:
--- /dev/null
+++ b/tests/faults/mutations.py
@@ -0,0 +1,355 @@
+"""Bugs planted on purpose: each a small change of the real code, for as long as a context lasts."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+from emberlatch.core.interface import Effect, Outcome, Phase, Result
+from emberlatch.core.rules import Forwarder
+from emberlatch.engine.engine import Engine
+from emberlatch.net import targets
+from emberlatch.net.directory import Directory
+from emberlatch.net.http import BrokenError
+from emberlatch.net.notices import Notices
+from emberlatch.net.targets import Targets
+from emberlatch.platform import Platform
+from emberlatch.store import Store
+from emberlatch.store import journal as store_journal
+
+Plant = Callable[[], Any]
+MUTATIONS: dict[str, Plant] = {}
+
+
+def planted(plant: Plant) -> Plant:
+    MUTATIONS[plant.__name__] = plant
+    return plant
+
+
+def outcomes(change: Callable[[Outcome], Outcome]) -> Any:
+    """Every outcome of a call is changed on its way to the engine."""
+    real = Engine.outcome
+    return patch.object(Engine, "outcome", lambda self, outcome: real(self, change(outcome)))
+
+
+def loaded(change: Callable[[list[Any]], list[Any]]) -> Any:
+    """What the journal gives at a start is changed."""
+    real = Store.load
+    return patch.object(Store, "load", lambda self: change(real(self)))
+
+
+def instead(result: Result, other: Result) -> Any:
+    return outcomes(lambda o: replace(o, result=other) if o.result is result else o)
+
+
+@planted
+def reset_counts_as_never_sent() -> Any:
+    return instead(Result.RESET, Result.CONNECT_FAILED)
+
+
+@planted
+def timeout_counts_as_never_sent() -> Any:
+    return instead(Result.TIMEOUT, Result.CONNECT_FAILED)
+
+
+@planted
+def error_counts_as_turned_away() -> Any:
+    return instead(Result.ERROR, Result.FULL)
+
+
+@planted
+def told_wait_is_not_read() -> Any:
+    return patch.object(targets, "_seconds", lambda text: 0.0)
+
+
+@planted
+def told_wait_is_halved() -> Any:
+    real = targets._seconds
+    return patch.object(targets, "_seconds", lambda text: real(text) / 2)
+
+
+@planted
+def wait_is_forgotten_on_listing() -> Any:
+    real = Targets.update
+
+    def update(self: Targets, *told: Any) -> None:
+        self._waits.clear()
+        real(self, *told)
+
+    module = Forwarder._directory
+
+    def directory(self: Forwarder, event: Any) -> None:
+        for endpoint in self.endpoints.values():
+            endpoint.route.blocked_until = -1.0
+        module(self, event)
+
+    return _both(patch.object(Targets, "update", update), patch.object(Forwarder, "_directory", directory))
+
+
+@contextmanager
+def _both(*plants: Any) -> Iterator[None]:
+    with plants[0], plants[1]:
+        yield
+
+
+@planted
+def drain_is_not_read() -> Any:
+    real = Directory._entry
+
+    def entry(self: Directory, member: Any) -> Any:
+        found = real(self, member)
+        return replace(found, phase=Phase.READY) if found.phase is Phase.DRAINING else found
+
+    return patch.object(Directory, "_entry", entry)
+
+
+@planted
+def list_is_told_late() -> Any:
+    real = Engine.listed
+
+    def listed(self: Engine, *told: Any) -> None:
+        asyncio.get_running_loop().call_later(1.5 if self._loop.time() > 1001 else 0.0, real, self, *told)
+
+    return patch.object(Engine, "listed", listed)
+
+
+@planted
+def keyed_repeat_in_the_other_wing() -> Any:
+    real = Forwarder._may_send
+
+    def may_send(self: Forwarder, message: Any, endpoint: Any) -> bool:
+        doubts = [(at, endpoint.entry.target, endpoint.entry.zone) for at, _, _ in message.doubts]
+        message.doubts, kept = doubts, message.doubts
+        allowed = real(self, message, endpoint)
+        message.doubts = kept
+        return allowed
+
+    return patch.object(Forwarder, "_may_send", may_send)
+
+
+@planted
+def key_window_too_long() -> Any:
+    def in_window(self: Forwarder, message: Any) -> bool:
+        return all(self.now < sent + message.category.window + 4 for sent, _, _ in message.doubts)
+
+    return patch.object(Forwarder, "_in_window", in_window)
+
+
+@planted
+def unsafe_is_repeated() -> Any:
+    may, way = Forwarder._may_send, Forwarder._has_way
+
+    def unsafe(message: Any) -> bool:
+        return bool(
+            message.category.effect is Effect.UNSAFE and message.attempts < 6 and message.call is None
+        )
+
+    return _both(
+        patch.object(Forwarder, "_may_send", lambda s, m, e: unsafe(m) or may(s, m, e)),
+        patch.object(Forwarder, "_has_way", lambda s, m: unsafe(m) or way(s, m)),
+    )
+
+
+@planted
+def refused_though_it_may_have_run() -> Any:
+    return patch.object(Forwarder, "_may_refuse", lambda self, message: message.call is None)
+
+
+@planted
+def notice_not_owed_after_restart() -> Any:
+    return loaded(lambda entries: [entry for entry in entries if entry.notice is None])
+
+
+@planted
+def held_is_lost_at_restart() -> Any:
+    return loaded(lambda entries: [entry for entry in entries if entry.notice is not None])
+
+
+@planted
+def doubts_are_not_replayed() -> Any:
+    def cleared(entries: list[Any]) -> list[Any]:
+        for entry in entries:
+            entry.doubts.clear()
+        return entries
+
+    return loaded(cleared)
+
+
+@planted
+def answered_before_it_is_journalled() -> Any:
+    return patch.object(Store, "take", lambda self, entry: None)
+
+
+@planted
+def intent_is_not_journalled() -> Any:
+    real = Store.update
+
+    def update(self: Store, entry: Any) -> None:
+        if entry.notice is not None or not entry.doubts:
+            real(self, entry)
+
+    return patch.object(Store, "update", update)
+
+
+@planted
+def end_is_not_journalled() -> Any:
+    return patch.object(Store, "forget", lambda self, entry: self._entries.pop(entry.ref, None))
+
+
+@planted
+def batch_answer_is_not_final() -> Any:
+    return patch.dict(targets.ENDS, {"ok": (Result.ERROR, False)})
+
+
+@planted
+def batch_answer_counts_for_all() -> Any:
+    """A broken batch passes for delivered."""
+    return outcomes(lambda o: replace(o, result=Result.OK, closed=True) if o.result is Result.RESET else o)
+
+
+@planted
+def first_line_of_another_answer_counts() -> Any:
+    real = BrokenError.__init__
+
+    def init(self: BrokenError, written: bool, status: int = 0) -> None:
+        real(self, written, 200 if written else 0)
+
+    return patch.object(BrokenError, "__init__", init)
+
+
+@planted
+def lease_is_leaked() -> Any:
+    real = Forwarder._outcome
+
+    def outcome(self: Forwarder, event: Any) -> None:
+        free = self.free
+        real(self, event)
+        if event.result is Result.TIMEOUT and self.free > max(free, 1):
+            self.free -= 1
+
+    return patch.object(Forwarder, "_outcome", outcome)
+
+
+@planted
+def notice_passes_for_confirmed() -> Any:
+    real = Notices._post
+
+    async def post(self: Notices, body: bytes, patience: float) -> int:
+        return 204 if b"dead" in body else await real(self, body, patience)
+
+    return patch.object(Notices, "_post", post)
+
+
+@planted
+def end_is_told_twice() -> Any:
+    real = Engine._finish
+
+    def finish(self: Engine, ref: int, notice: Any) -> None:
+        real(self, ref, notice)
+        if ref in self._ended and notice["result"] == "bounced":
+            self._end.add(-ref, {"ref": self._ended[ref].id, "result": "dead"})
+
+    return patch.object(Engine, "_finish", finish)
+
+
+@planted
+def end_is_held_back() -> Any:
+    real = Engine._finish
+
+    def finish(self: Engine, ref: int, notice: Any) -> None:
+        self._loop.call_later(2.0, real, self, ref, notice)
+
+    return patch.object(Engine, "_finish", finish)
+
+
+@planted
+def cold_return_gets_everything() -> Any:
+    return patch.object(Forwarder, "_next_cold", lambda self, route: self.now)
+
+
+@planted
+def pool_may_take_all_slots() -> Any:
+    real = Forwarder.__init__
+
+    def init(self: Forwarder, *told: Any) -> None:
+        real(self, *told)
+        self.healthy_cap = self.sick_cap = self.settings.slots
+
+    return patch.object(Forwarder, "__init__", init)
+
+
+@planted
+def deadline_is_passed_over() -> Any:
+    real = Forwarder._arrive
+
+    def arrive(self: Forwarder, event: Any) -> None:
+        real(self, replace(event, remaining=event.remaining + 3))
+
+    return patch.object(Forwarder, "_arrive", arrive)
+
+
+@planted
+def torn_record_stops_the_start() -> Any:
+    real = store_journal._records
+
+    def records(data: bytes, name: str) -> list[bytes]:
+        found = real(data, name)
+        if sum(len(payload) + 12 for payload in found) != len(data):
+            raise ValueError("damaged")
+        return found
+
+    return patch.object(store_journal, "_records", records)
+
+
+@planted
+def ids_are_kept_for_good() -> Any:
+    return patch.object(Engine, "_release", lambda self, entry: self._held.pop(entry.ref))
+
+
+@planted
+def move_of_the_directory_is_ignored() -> Any:
+    return patch.object(Platform, "move", lambda self, address: None)
+
+
+@planted
+def doubt_is_dropped_with_the_attempt() -> Any:
+    real = Engine.outcome
+
+    def outcome(self: Engine, told: Outcome) -> None:
+        entry = self._held.get(told.ref)
+        if entry is not None and not told.closed:
+            entry.doubts = [d for d in entry.doubts if d.attempt != told.attempt]
+        real(self, told)
+
+    return patch.object(Engine, "outcome", outcome)
+
+
+@planted
+def wall_clock_is_believed() -> Any:
+    return patch.object(Engine, "_clock", lambda self: self._machine.wall() - self._loop.time())
+
+
+@planted
+def late_answer_of_a_batch_is_passed_over() -> Any:
+    real = Forwarder._outcome
+
+    def outcome(self: Forwarder, event: Any) -> None:
+        if (event.ref, event.attempt) in self.calls:
+            real(self, event)
+
+    return _both(
+        patch.object(Forwarder, "_outcome", outcome),
+        patch.object(targets._Call, "tell", _only_first(targets._Call.tell)),
+    )
+
+
+def _only_first(real: Any) -> Any:
+    def tell(self: Any, item: Any, result: Any, closed: bool = False, *more: Any, **named: Any) -> None:
+        if item not in self.late:
+            real(self, item, result, closed, *more, **named)
+
+    return tell
--- /dev/null
+++ b/tests/faults/test_checks.py
@@ -0,0 +1,190 @@
+"""Each rule is found broken where it is, and kept where it is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from emberlatch.faults import Fault, Plan, PlanError, draw, parse
+from emberlatch.faults.checks import Checks, Figures
+from emberlatch.faults.plan import CALM_FROM, KINDS
+
+FIGURES = Figures(
+    slots=8,
+    grace=0.5,
+    kinds={},
+    windows={"keyed": 8.0},
+    wings={"p1-east": "east", "p1-west": "west", "p2-east": "east"},
+)
+
+
+def checks(kind: str = "safe") -> Checks:
+    """One forwarder that is ready, and a message that it took on."""
+    made = Checks(FIGURES)
+    made.up(0.0, "f0", [])
+    made.handed(1.0, "f0", "m", kind, 12.0)
+    made.answered(1.01, "m", 202)
+    return made
+
+
+def sent(
+    made: Checks, at: float, endpoint: str = "p1-east", number: int = 1, status: int | None = None
+) -> None:
+    made.called(at, "f0", endpoint, number, ["m"])
+    if status is not None:
+        made.replied(at + 0.1, endpoint, number, status, True, 0.0)
+
+
+def rules(made: Checks) -> list[str]:
+    made.overdue(100.0)
+    return [breach.rule for breach in made.breaches]
+
+
+def test_a_delivery_or_one_notice_in_time_is_an_end() -> None:
+    made = checks()
+    sent(made, 2.0, status=200)
+    assert rules(made) == []
+    made = checks()
+    made.noticed(12.2, "f0", "m", "dead")
+    made.noticed(12.3, "f0", "m", "dead")  # told again: its confirmation was lost
+    assert rules(made) == []
+
+
+@pytest.mark.parametrize(
+    ("kind", "second", "status", "broken"),
+    [
+        ("safe", (5.0, "p1-west"), 500, False),
+        ("unsafe", (5.0, "p1-east"), 500, True),
+        ("unsafe", (5.0, "p1-east"), 429, False),
+        ("keyed", (5.0, "p1-east"), 500, False),
+        ("keyed", (5.0, "p1-west"), 500, True),
+        ("keyed", (5.0, "p1-west"), 503, False),
+        ("keyed", (10.5, "p1-east"), 500, True),
+    ],
+)
+def test_repeats(kind: str, second: tuple[float, str], status: int, broken: bool) -> None:
+    made = checks(kind)
+    sent(made, 2.0, number=1, status=status)
+    sent(made, *second, number=2, status=200)
+    assert rules(made) == (["duplicates"] if broken else [])
+
+
+def test_a_call_that_broke_or_is_out_may_have_run() -> None:
+    for change in (lambda c: c.broke(3.0, "p1-east", 1), lambda c: c.down(3.0, "f0"), lambda c: None):
+        made = checks("unsafe")
+        sent(made, 2.0)
+        change(made)
+        sent(made, 5.0, number=2)
+        made.noticed(6.0, "f0", "m", "dead")
+        assert rules(made) == ["duplicates"]
+
+
+def test_a_refusal_of_what_may_have_run() -> None:
+    made = checks("keyed")
+    sent(made, 2.0, status=500)
+    made.noticed(3.0, "f0", "m", "bounced")
+    assert rules(made) == ["duplicates"]
+
+
+Event = Callable[[Checks], None]
+
+
+@pytest.mark.parametrize(
+    ("events", "broken"),
+    [
+        ([lambda c: c.told(2.0, "f0", "p1-east", False), lambda c: sent(c, 2.5, status=200)], []),
+        ([lambda c: c.told(2.0, "f0", "p1-east", False), lambda c: sent(c, 2.6, status=200)], ["drains"]),
+        ([lambda c: c.told(2.0, "f0", "p1-east", False), lambda c: c.told(2.1, "f0", "p1-east", True),
+          lambda c: sent(c, 3.0, status=200)], []),
+        ([lambda c: c.noticed(2.0, "f0", "m", "dead"), lambda c: sent(c, 3.0)], ["ends"]),
+        ([lambda c: c.noticed(2.0, "f0", "m", "dead"),
+          lambda c: c.noticed(2.0, "f0", "m", "bounced")], ["ends"]),
+        ([lambda c: sent(c, 2.0, status=200), lambda c: c.noticed(5.0, "f0", "m", "dead")], ["ends"]),
+        ([lambda c: c.noticed(2.0, "f0", "x", "dead"),
+          lambda c: c.noticed(2.0, "f0", "m", "dead")], ["ends"]),
+        ([lambda c: c.given_up(2.0, "m"), lambda c: c.noticed(2.2, "f0", "m", "dead")], []),
+        ([lambda c: c.given_up(2.0, "m"), lambda c: c.noticed(4.0, "f0", "m", "dead")], ["at once"]),
+        ([], ["lost"]),
+        ([lambda c: c.noticed(12.4, "f0", "m", "dead")], ["lost"]),
+        ([lambda c: c.lives("f0", [(11.0, 13.0)]), lambda c: c.noticed(12.9, "f0", "m", "dead")], []),
+    ],
+)  # fmt: skip
+def test_drains_ends_and_time(events: list[Event], broken: list[str]) -> None:
+    made = checks()
+    for event in events:
+        event(made)
+    assert rules(made) == broken
+
+
+def test_a_wait_binds_from_its_answer_until_it_is_over_or_the_process_is() -> None:
+    for at, end, broken in (
+        (2.05, False, False),
+        (2.5, False, True),
+        (3.2, False, False),
+        (2.5, True, False),
+    ):
+        made = checks()
+        sent(made, 2.0)
+        made.replied(2.0, "p1-east", 1, 429, True, 1.0)
+        if end:
+            made.down(2.1, "f0")
+            made.up(2.2, "f0", [])
+        sent(made, at, number=2, status=200)
+        assert rules(made) == (["waits"] if broken else [])
+
+
+def test_leases() -> None:
+    made = checks()
+    for n in range(6):
+        made.called(2.0, "f0", f"p1-{'east' if n % 2 else 'west'}", n, [])
+    made.tick(2.1, set())
+    assert [b.rule for b in made.breaches] == ["leases"]
+    made = checks()
+    made.tick(20.0, {"p1-east"})
+    for n in range(5):
+        made.called(20.1, "f0", "p1-east", n, [])
+    assert [b.rule for b in made.breaches] == ["leases"]
+
+
+def test_pushed_over_by_those_who_had_seen_it_fail() -> None:
+    for seen, broken in ((True, True), (False, False)):
+        made = checks()
+        made.struck("p1-east")
+        if seen:
+            sent(made, 2.0)
+            made.broke(2.5, "p1-east", 1)
+        made.fell(9.0, "p1-east", ["f0"] * 9 + ["f1"])
+        assert ("returns" in [b.rule for b in made.breaches]) is broken
+
+
+def test_a_plan_is_drawn_the_same_and_read_as_it_is_written() -> None:
+    for seed in range(300):
+        plan = draw(seed)
+        assert plan == draw(seed) and parse(str(plan)) == plan
+        assert all(fault.what in KINDS and (fault.until or 0.0) <= CALM_FROM for fault in plan.faults)
+        moments = [f.since for f in plan.faults]
+        overlap = max(sum(f.since <= at <= (f.until or CALM_FROM) for f in plan.faults) for at in moments)
+        assert len(plan.faults) >= 3 and overlap >= 3
+    assert len({what for seed in range(300) for what in [f.what for f in draw(seed).faults]}) == len(KINDS)
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("rate 4\n", "no line names the seed"),
+        ("seed x\n", "line 1"),
+        ("seed 1\nfault 1 2 hang\n", "line 2: a fault is"),
+        ("seed 1\nfault 1 2 burn p1\n", "line 2: 'burn' is no fault"),
+        ("seed 1\n# a word\nfault 1 2 hang p9\n", "line 3: 'p9' is nobody"),
+        ("seed 1\nspeed 3\n", "line 2: a line is"),
+    ],
+)
+def test_a_plan_that_cannot_be_read_is_told_by_line(text: str, told: str) -> None:
+    with pytest.raises(PlanError, match=told):
+        parse(text)
+
+
+def test_a_plan_without_some_of_its_faults() -> None:
+    one, two = Fault(1.0, 2.0, "hang", "p1"), Fault(3.0, None, "kill", "f0")
+    assert Plan(1, (one, two)).without([one]) == Plan(1, (two,))
--- /dev/null
+++ b/tests/faults/test_machine.py
@@ -0,0 +1,273 @@
+"""The virtual loop, network and disk: what they promise the code that runs on them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from emberlatch.faults.disk import Disk, Moment
+from emberlatch.faults.loop import Killed, Process, StuckError, VirtualLoop, current
+from emberlatch.faults.network import KERNEL, Network
+
+HERE = ("10.0.0.1", 80)
+
+
+def run(test: Callable[[VirtualLoop, Network], Awaitable[Any]]) -> Any:
+    loop = VirtualLoop()
+    network = Network(loop, seed=1)
+
+    async def main() -> Any:
+        return await test(loop, network)
+
+    try:
+        return loop.run_until_complete(main())
+    finally:
+        loop.close()
+
+
+class Side(asyncio.Protocol):
+    """Remembers what it hears."""
+
+    def __init__(self) -> None:
+        self.heard: list[Any] = []
+        self.data = b""
+        self.paused = False
+        self.keep_open = False
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+
+    def eof_received(self) -> bool:
+        self.heard.append("eof")
+        return self.keep_open
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.heard.append(exc if exc is None else type(exc))
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+
+
+async def pair(loop: VirtualLoop, network: Network) -> tuple[Side, Side]:
+    sides: list[Side] = []
+
+    def factory() -> Side:
+        sides.append(Side())
+        return sides[-1]
+
+    network.serve(factory, HERE)
+    _, client = await loop.create_connection(Side, *HERE)
+    await asyncio.sleep(0.01)
+    return client, sides[0]
+
+
+def test_time_moves_only_when_nothing_is_ready_and_costs_none() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        began = loop.time()
+        for _ in range(100):
+            await asyncio.sleep(0)
+        assert loop.time() == began
+        await asyncio.sleep(86400)
+        assert loop.time() == pytest.approx(began + 86400)
+
+    began = time.monotonic()
+    run(test)
+    assert time.monotonic() - began < 5
+
+
+def test_what_waits_for_nothing_is_told_and_not_waited_for() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        await asyncio.Event().wait()
+
+    with pytest.raises(StuckError, match="nothing is due"):
+        run(test)
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda loop: asyncio.to_thread(time.sleep, 0),
+        lambda loop: loop.getaddrinfo("localhost", 80),
+        lambda loop: loop.sock_connect(None, HERE),
+    ],
+)
+def test_threads_and_real_sockets_raise(call: Any) -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        with pytest.raises(RuntimeError, match="virtual clock"):
+            await call(loop)
+
+    run(test)
+
+
+def test_bytes_arrive_in_order_after_the_latency_and_an_end_follows_them() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        client, server = await pair(loop, network)
+        for n in range(50):
+            client.transport.write(b"%d," % n)
+        client.transport.close()
+        assert server.data == b""
+        await asyncio.sleep(0.05)
+        assert server.data == b"".join(b"%d," % n for n in range(50))
+        assert server.heard == ["eof", None] and client.heard == [None]
+
+    run(test)
+
+
+def test_a_half_closed_side_still_hears() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        client, server = await pair(loop, network)
+        server.keep_open = True
+        client.transport.write_eof()
+        await asyncio.sleep(0.05)
+        server.transport.write(b"late")
+        await asyncio.sleep(0.05)
+        assert client.data == b"late" and client.heard == []
+
+    run(test)
+
+
+def test_an_abort_resets_the_other_side_behind_what_was_sent() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        client, server = await pair(loop, network)
+        client.transport.write(b"x")
+        client.transport.abort()
+        await asyncio.sleep(0.05)
+        assert server.data == b"x" and server.heard == [ConnectionResetError]
+        assert client.heard == [None] and not network.ends
+
+    run(test)
+
+
+def test_a_reader_that_pauses_holds_the_writer_up() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        client, server = await pair(loop, network)
+        client.transport.set_write_buffer_limits(high=0)
+        server.transport.pause_reading()
+        client.transport.write(bytes(KERNEL))
+        await asyncio.sleep(1)
+        assert not client.paused
+        client.transport.write(b"more")
+        assert client.paused and server.data == b""
+        server.transport.resume_reading()
+        await asyncio.sleep(1)
+        assert not client.paused and len(server.data) == KERNEL + 4
+        assert not server.transport.get_extra_info("unread")()
+
+    run(test)
+
+
+def test_connections_are_refused_and_those_cut_off_say_nothing_until_they_are_back() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        with pytest.raises(ConnectionRefusedError):
+            await loop.create_connection(Side, *HERE)
+        client, server = await pair(loop, network)
+        network.isolate(HERE)
+        client.transport.write(b"x")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(30):
+                await loop.create_connection(Side, *HERE)
+        assert server.data == b"" and client.heard == []
+        network.rejoin(HERE)
+        await asyncio.sleep(0.05)
+        assert client.heard == [ConnectionResetError]
+        await loop.create_connection(Side, *HERE)
+
+    run(test)
+
+
+def test_a_process_that_dies_resets_its_connections_and_runs_no_further() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        await pair(loop, network)
+        process, went_on = Process("p"), list[str]()
+
+        async def work() -> None:
+            listener = network.listen(("10.0.0.2", 80))
+            _, mine = await loop.create_connection(Side, *HERE)
+            loop.call_later(5, went_on.append, "timer")
+            assert listener.fileno() == 0 and mine.data == b""
+            try:
+                await asyncio.sleep(10)
+            finally:
+                went_on.append("unwound")
+
+        context = contextvars.copy_context()
+        context.run(current.set, process)
+        loop.create_task(work(), context=context)
+        await asyncio.sleep(1)
+        process.kill()
+        await asyncio.sleep(20)
+        assert went_on == [] and not process.open and len(network.ends) == 2
+        network.listen(("10.0.0.2", 80))  # its address is free again
+
+    run(test)
+
+
+def test_descriptors_end() -> None:
+    async def test(loop: VirtualLoop, network: Network) -> None:
+        network.serve(Side, HERE)
+        process, errors = Process("p", descriptors=10), []
+
+        async def work() -> None:
+            try:
+                for _ in range(5):
+                    await loop.create_connection(Side, *HERE)
+            except OSError as error:
+                errors.append((error.errno, len(process.open)))
+
+        context = contextvars.copy_context()
+        context.run(current.set, process)
+        await loop.create_task(work(), context=context)
+        assert errors == [(24, 2)]
+
+    run(test)
+
+
+def write(disk: Disk, data: bytes, name: str = "a") -> int:
+    return disk.write(disk.append_to(name), memoryview(data))
+
+
+def test_a_disk_keeps_what_was_written_and_counts_whole_blocks() -> None:
+    disk = Disk()
+    assert write(disk, b"x" * 600) == 600 and write(disk, b"y", "b") == 1
+    disk.restart()
+    assert disk.read("a") == b"x" * 600 and disk.names() == ["a", "b"] and disk.used == disk.most == 1536
+    disk.remove("a")
+    assert disk.used == 512 and disk.most == 1536
+    with pytest.raises(FileNotFoundError):
+        disk.read("a")
+
+
+def test_a_disk_that_is_full_failing_or_short() -> None:
+    disk = Disk()
+    disk.trouble.room = 1024
+    assert write(disk, b"x" * 2000) == 1024
+    with pytest.raises(OSError, match="no space"):
+        write(disk, b"x")
+    disk.trouble.room = None
+    disk.trouble.short = True
+    assert write(disk, b"x" * 10) == 5
+    disk.trouble.failing = True
+    with pytest.raises(OSError, match="input/output"):
+        write(disk, b"x")
+
+
+@pytest.mark.parametrize(("moment", "left"), [(Moment.BEFORE, 0), (Moment.WITHIN, 5), (Moment.AFTER, 10)])
+def test_a_process_is_killed_at_a_chosen_call(moment: Moment, left: int) -> None:
+    disk, process = Disk(), Process("p")
+    disk.kill_at = 2, moment
+    context = contextvars.copy_context()
+    context.run(current.set, process)
+    with pytest.raises(Killed):
+        context.run(write, disk, b"0123456789")
+    assert not process.alive and len(disk.read("a")) == left
--- /dev/null
+++ b/tests/faults/test_seeds.py
@@ -0,0 +1,172 @@
+"""Universes: fixed seeds and kept plans break nothing, planted bugs are caught, replays are the same."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from emberlatch.cli import main
+from emberlatch.faults import Fault, Plan, digest, draw, parse, play, shrink
+from tests.faults.mutations import MUTATIONS
+from tests.peers import ROOT
+
+PLANS = sorted((ROOT / "tests" / "plans").glob("*.plan"))
+SEEDS, CHUNKS = 300, 30
+
+
+@pytest.mark.parametrize("chunk", range(CHUNKS))
+def test_fixed_seeds_break_nothing(chunk: int) -> None:
+    for seed in range(chunk, SEEDS, CHUNKS):
+        report = play(draw(seed))
+        assert not report.breaches, f"seed {seed}: {report.breaches[0]}"
+        assert report.messages > 50
+
+
+@pytest.mark.parametrize("path", PLANS, ids=lambda path: path.stem)
+def test_kept_plans_break_nothing(path: Path) -> None:
+    report = play(parse(path.read_text()))
+    assert not report.breaches, report.breaches[0]
+    assert report.messages > 50
+
+
+@pytest.mark.parametrize("moment", ["before", "within", "after"])
+def test_a_kill_at_any_call_of_the_disk_and_another_in_the_recovery(moment: str) -> None:
+    """Between intent and send, between answer and journal, in compaction: each call of a stretch, and the
+    calls of the start that follows."""
+    for number in range(1, 25):
+        faults = (
+            Fault(3.0, 9.0, "reset", "p2"),
+            Fault(12.0, None, "kill-at", "f0", f"{number} {moment}"),
+            Fault(14.0, None, "kill-at", "f0", f"{1 + number % 4} {moment}"),
+            Fault(15.2, None, "kill-at", "f0", f"{1 + number % 3} {moment}"),
+        )
+        report = play(Plan(number, faults, rate=6.0))
+        assert not report.breaches, f"{number} {moment}: {report.breaches[0]}"
+
+
+def test_calm_universes_serve_everybody() -> None:
+    for seed in range(10):
+        report = play(Plan(seed, rate=3.0))
+        assert not report.breaches
+        ends = [line for line in report.lines if " notice " in line]
+        assert len(ends) <= 0.02 * report.messages
+
+
+CAUGHT: dict[str, int | str] = {
+    "reset_counts_as_never_sent": 5,
+    "timeout_counts_as_never_sent": 7,
+    "error_counts_as_turned_away": 0,
+    "told_wait_is_not_read": 6,
+    "told_wait_is_halved": 6,
+    "wait_is_forgotten_on_listing": 13,
+    "drain_is_not_read": 18,
+    "list_is_told_late": 1,
+    "keyed_repeat_in_the_other_wing": 0,
+    "key_window_too_long": 8,
+    "unsafe_is_repeated": 6,
+    "refused_though_it_may_have_run": 1,
+    "notice_not_owed_after_restart": "notice-owed",
+    "held_is_lost_at_restart": 1,
+    "doubts_are_not_replayed": 6,
+    "answered_before_it_is_journalled": 1,
+    "intent_is_not_journalled": 1,
+    "end_is_not_journalled": 0,
+    "batch_answer_is_not_final": 0,
+    "batch_answer_counts_for_all": 2,
+    "first_line_of_another_answer_counts": 2,
+    "lease_is_leaked": 2,
+    "notice_passes_for_confirmed": 1,
+    "end_is_told_twice": 0,
+    "end_is_held_back": 0,
+    "cold_return_gets_everything": 21,
+    "pool_may_take_all_slots": 1,
+    "deadline_is_passed_over": 0,
+    "torn_record_stops_the_start": 7,
+    "ids_are_kept_for_good": 0,
+    "move_of_the_directory_is_ignored": 13,
+    "doubt_is_dropped_with_the_attempt": 56,
+    "wall_clock_is_believed": 250,
+    "late_answer_of_a_batch_is_passed_over": 64,
+}
+"""Each planted bug and the seed, or the kept plan, that catches it."""
+
+
+@pytest.mark.parametrize("name", sorted(CAUGHT))
+def test_a_planted_bug_is_caught_and_replayed_from_its_seed(name: str) -> None:
+    found = CAUGHT[name]
+    plan = draw(found) if isinstance(found, int) else parse((PLANS[0].parent / f"{found}.plan").read_text())
+    with MUTATIONS[name]():
+        first, again = play(plan), play(plan)
+    assert first.breaches and first.breaches == again.breaches
+    assert not play(plan).breaches
+
+
+def test_every_planted_bug_has_its_seed() -> None:
+    assert CAUGHT.keys() == MUTATIONS.keys() and len(MUTATIONS) >= 25
+
+
+def test_two_replays_are_the_same_to_the_byte_in_every_process() -> None:
+    code = "from emberlatch.faults import *; print([digest(play(draw(s))) for s in (3, 6, 11)])"
+    told = set()
+    for hash_seed in ("0", "1", "4711"):
+        environment = os.environ | {"PYTHONHASHSEED": hash_seed}
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        told.add(done.stdout)
+    assert told == {f"{[digest(play(draw(seed))) for seed in (3, 6, 11)]}\n"}
+
+
+def test_shrinking_leaves_the_faults_that_matter() -> None:
+    plan = Plan(
+        3,
+        (
+            Fault(2.0, 4.0, "slow", "p3"),
+            Fault(3.0, 9.0, "reset", "p2"),
+            Fault(4.0, 8.0, "directory-late", "all"),
+            Fault(5.0, 7.0, "drain", "p1-east"),
+        ),
+        rate=5.0,
+    )
+    with MUTATIONS["reset_counts_as_never_sent"]():
+        assert [fault.what for fault in shrink(plan, "duplicates").faults] == ["reset"]
+
+
+def test_the_command_runs_replays_and_draws(tmp_path: Path) -> None:
+    def call(*arguments: str) -> tuple[int, str]:
+        done = CliRunner().invoke(main, ["faults", *arguments])
+        return done.exit_code, done.output
+
+    code, out = call("run", "--seeds", "0-3", "--jobs", "1")
+    assert code == 0 and "4 seeds in" in out and "broken: none" in out
+    code, out = call("replay", "3", "--trace", str(tmp_path / "trace"))
+    assert code == 0 and digest(play(draw(3))) in out
+    assert (tmp_path / "trace").read_text() == "".join(f"{line}\n" for line in play(draw(3)).lines)
+    code, out = call("replay", "3", "--until", "1.0")
+    assert (
+        "up f0" in out and max(float(x.split()[0]) for x in out.splitlines() if x[:2] in ("0.", "1.")) <= 1.0
+    )
+    assert call("shrink", "3") == (2, "3 breaks nothing\n")
+    with MUTATIONS["reset_counts_as_never_sent"]():
+        code, out = call("run", "--seeds", "5", "--jobs", "1")
+        assert code == 1 and "seed 5: " in out and "duplicates" in out
+        code, out = call("shrink", "5")
+        (tmp_path / "found.plan").write_text(out)
+        assert call("replay", str(tmp_path / "found.plan"))[0] == 1
+    assert call("explain", "3", "-o", str(tmp_path / "x.svg"))[0] == 0
+    assert (tmp_path / "x.svg").read_text().startswith("<svg") and "p1-east" in (
+        tmp_path / "x.svg"
+    ).read_text()
+    (tmp_path / "bad.plan").write_text("seed 1\nfault\n")
+    assert call("replay", str(tmp_path / "bad.plan"))[0] == 2
+    assert call("run", "--seeds", "x")[0] == 2
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -104,3 +104,18 @@
         store.close()
         assert size(tmp_path) <= limit
     assert sum(1 for path in tmp_path.iterdir() if not path.stat().st_size) <= 1
+
+
+def test_the_clock_is_in_each_segment_and_outlasts_compaction_and_the_process(tmp_path: Path) -> None:
+    store = Store(Folder(tmp_path), 1_000_000)
+    store.load()
+    store.clock = "run", 17.5
+    for ref in range(60):
+        new = entry(ref, 60_000)
+        store.take(new)
+        store.forget(new)
+    store.close()
+    assert not (tmp_path / "00000001.log").exists()  # the first segment has been compacted away
+    again = Store(Folder(tmp_path), 1_000_000)
+    assert again.load() == [] and again.clock == ("run", 17.5)
+    again.close()
