--- /dev/null
+++ b/benchmarks/fidelity.py
@@ -0,0 +1,53 @@
+"""Whether the virtual world tells the truth: plans over real loopback sockets beside the same ones virtually.
+
+    python -m benchmarks.fidelity [plans] [jobs]
+
+Every wish of a client is delivered within its aim, or not. The two runs of a plan should agree; a message
+whose time is close to a limit may fall on either side of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+from emberlatch.faults import draw
+from emberlatch.faults.loop import VirtualLoop
+from emberlatch.faults.loopback import can_be_real, play_for_real
+from emberlatch.faults.world import World
+
+
+def ends(world: World) -> list[str]:
+    """How each wish ended, in the order of the wishes."""
+    served = (clients.served(0.0, 1e9, world.checks.messages) for clients in world.clients)
+    return ["in time" if in_time else "late or not" for wishes in served for _, in_time in wishes]
+
+
+def compare(seed: int) -> tuple[int, int, int, int]:
+    """The wishes of a plan, how many ended alike, and the breaches of the real and the virtual run."""
+    logging.disable(logging.CRITICAL)
+    plan = can_be_real(draw(seed))
+    real = asyncio.run(play_for_real(plan))
+    loop = VirtualLoop()
+    virtual = World(plan, loop)
+    loop.run_until_complete(virtual.run())
+    one, two = ends(real), ends(virtual)
+    same = sum(a == b for a, b in zip(one, two, strict=False))
+    return max(len(one), len(two)), same, len(real.breaches), len(virtual.breaches)
+
+
+def main(plans: int, jobs: int) -> None:
+    """A line for each plan that differs, and the sum."""
+    total = alike = broken = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for seed, (wishes, same, real, virtual) in enumerate(pool.map(compare, range(plans))):
+            total, alike, broken = total + wishes, alike + same, broken + real + virtual
+            if same < wishes or real or virtual:
+                print(f"seed {seed}: {same} of {wishes} alike; breaches {real} real, {virtual} virtual")
+    print(f"{plans} plans, {total} wishes, {alike / total:.2%} ended alike, {broken} breaches")
+
+
+if __name__ == "__main__":
+    main(*(int(word) for word in [*sys.argv[1:], *("32", "16")[len(sys.argv) - 1 :]]))
--- /dev/null
+++ b/benchmarks/isolation.py
@@ -0,0 +1,306 @@
+"""The experiment of the design's paper on the real program: a hundred clients, two tasks of 10 ms, one of
+which comes to hang for 10 s on nine calls of ten, and recovers.
+
+    python -m benchmarks.isolation [seconds a phase] [file for the plot]
+
+Each client does one request after the other, to A or B by chance. Three ways run one after the other in one
+process, with the same partners on loopback sockets: nothing in between, a plain semaphore of 60 for each
+task (a caller that finds none free waits 7 ms: a burst of 40 over the limit, times 10 ms, by 60), and the
+forwarder (engine, HTTP front, HTTP carrier) with 60 slots and a second for each message. CPU is that of the process, clients and partners
+included.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from emberlatch.core import interface as api
+from emberlatch.engine import Engine, Notice, Tasks
+from emberlatch.faults.disk import Disk
+from emberlatch.net.api import Api
+from emberlatch.net.http import BrokenError, Connection, connect, parse_address
+from emberlatch.net.server import Server
+from emberlatch.net.targets import Targets
+from emberlatch.standins import Behaviour, Fate, Message, Partner, PartnerServer
+from emberlatch.store import Store
+
+CLIENTS, LIMIT, WAIT = 100, 60, 0.007
+HANG, SHARE = 10.0, 0.9
+DEADLINE = 1.0  # seconds, of a message: a hundred times what it takes
+PHASES = ("normal", "failure", "recovery")
+NAMES = ("A", "B")
+
+Do = Callable[[int, str], Awaitable[bool]]
+
+
+class Task(Partner):
+    """Takes 10 ms, or 10 s on most calls while it fails."""
+
+    def __init__(self) -> None:
+        super().__init__(Behaviour(work=0.01, spread=0.0, workers=10_000))
+        self.fails = False
+        self._chance = random.Random(1)
+
+    def call(self, now: float, messages: list[Message]) -> Fate:  # type: ignore[override]
+        hangs = self.fails and self._chance.random() < SHARE
+        return Fate(now + (HANG if hangs else 0.01))
+
+
+@dataclass
+class Tally:
+    """What one task got in one phase."""
+
+    done: int = 0
+    good: int = 0
+    latency: float = 0.0
+
+
+@dataclass
+class Result:
+    """What one way showed."""
+
+    name: str
+    tallies: dict[tuple[str, str], Tally] = field(default_factory=dict)
+    cpu: dict[str, float] = field(default_factory=dict)
+    rate: list[int] = field(default_factory=list)  # requests done in each half second
+
+
+class Calls:
+    """Plain HTTP calls on connections that are kept."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = [parse_address(address) for address in addresses]
+        self._idle: list[list[Connection]] = [[] for _ in addresses]
+
+    async def call(self, task: int, name: str) -> bool:
+        """One call; whether it was answered with 200."""
+        try:
+            idle = self._idle[task]
+            connection = idle.pop() if idle else await connect(self._addresses[task], 5.0)
+            head = f"POST /v1/messages HTTP/1.1\r\nX-Request-ID: {name}\r\nContent-Length: 1\r\n\r\nx"
+            answer = await connection.exchange(head.encode())
+        except (OSError, BrokenError):
+            return False
+        self._idle[task].append(connection)
+        return answer.status == 200
+
+
+class Heard:
+    """An End that lets the client know."""
+
+    tells_deliveries = True
+    pending = False
+
+    def __init__(self, confirmed: Callable[[list[int]], None]) -> None:
+        self._confirmed = confirmed
+        self.waiting: dict[str, asyncio.Future[bool]] = {}
+
+    def add(self, ref: int, notice: Notice) -> None:
+        future = self.waiting.pop(notice["ref"], None)
+        if future is not None and not future.done():
+            future.set_result(notice["result"] == "delivered")
+        asyncio.get_running_loop().call_soon(self._confirmed, [ref])
+
+
+class Listed:
+    """A Membership of two endpoints that never change."""
+
+    def __init__(self, addresses: list[str], tell: Callable[..., None]) -> None:
+        self._addresses, self._tell = addresses, tell
+
+    def start(self) -> None:
+        entries = tuple(api.Entry(name.encode(), n) for n, name in enumerate(NAMES))
+        places = {name.encode(): parse_address(a) for name, a in zip(NAMES, self._addresses, strict=True)}
+        self._tell(api.DirectoryUpdate(api.ListKind.CACHED, 1, entries), places)
+
+    def watch(self, active: bool) -> None: ...
+
+    def look_up(self) -> None: ...
+
+
+class Forwarder:
+    """The real program in between."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        note = api.Category("note", api.Effect.SAFE, aim=0.05, deadline=DEADLINE)
+        settings = api.Settings(
+            categories=(note,),
+            slots=LIMIT,
+            open_cap=2 * CLIENTS,
+            max_attempts=1,
+            separate_routes=(True,),
+            retry_after=True,
+            max_retry_after=1.0,
+            connection_idle=60.0,
+        )
+        tasks = Tasks()
+        self._engine = Engine(settings, 1, Store(Disk(), 20_000_000), tasks)
+        self._end = Heard(self._engine.confirmed)
+        self._server = Server(("127.0.0.1", 0), Api(self._engine.submit), 1000, tasks)
+        targets = Targets(settings, 1000, self._engine.outcome, tasks)
+        self._engine.join([self._server], targets, Listed(addresses, self._engine.listed), self._end)
+        self._idle: list[Connection] = []
+
+    async def start(self) -> None:
+        await self._engine.start()
+        listener = self._server._listener
+        self._address = listener.getsockname()  # type: ignore[union-attr]
+
+    async def call(self, task: int, name: str) -> bool:
+        ended = self._end.waiting[name] = asyncio.get_running_loop().create_future()
+        head = (
+            f"POST /api HTTP/1.1\r\nX-Request-ID: {name}\r\nX-Priority-Class: note\r\n"
+            f"X-Timeout-Ms: {DEADLINE * 1000:.0f}\r\nEnvelope: dest={task}\r\nContent-Length: 1\r\n\r\nx"
+        )
+        try:
+            connection = self._idle.pop() if self._idle else await connect(self._address, 5.0)
+            answer = await connection.exchange(head.encode())
+        except (OSError, BrokenError):
+            return False
+        if connection.usable:
+            self._idle.append(connection)
+        if answer.status != 202:
+            self._end.waiting.pop(name, None)
+            return False
+        return bool(await ended)
+
+
+async def measure(name: str, do: Do, task: Task, seconds: float) -> Result:
+    """Three phases with a hundred clients."""
+    result, phase, over = Result(name), PHASES[0], False
+    loop, number = asyncio.get_running_loop(), 0
+
+    async def client(chance: random.Random) -> None:
+        nonlocal number
+        while not over:
+            which, began, mine = chance.randrange(2), loop.time(), phase
+            number += 1
+            good = await do(which, f"{name}-{number}")
+            tally = result.tallies.setdefault((mine, NAMES[which]), Tally())
+            tally.done, tally.good = tally.done + 1, tally.good + good
+            tally.latency += loop.time() - began
+            if not good:  # a client that is turned away does something else for a moment
+                await asyncio.sleep(0.01)
+
+    clients = [asyncio.create_task(client(random.Random(n))) for n in range(CLIENTS)]
+    for now in PHASES:
+        phase, task.fails = now, now == "failure"
+        cpu = time.process_time()
+        for _ in range(round(2 * seconds)):
+            before = sum(tally.done for tally in result.tallies.values())
+            await asyncio.sleep(0.5)
+            result.rate.append(sum(tally.done for tally in result.tallies.values()) - before)
+        result.cpu[now] = (time.process_time() - cpu) / seconds
+    over = True
+    await asyncio.wait(clients, timeout=HANG + 3)
+    for one in clients:
+        one.cancel()
+    return result
+
+
+def limited(do: Do) -> Do:
+    """A semaphore for each task round plain calls."""
+    semaphores = [asyncio.Semaphore(LIMIT) for _ in NAMES]
+
+    async def call(task: int, name: str) -> bool:
+        try:
+            async with asyncio.timeout(WAIT):
+                await semaphores[task].acquire()
+        except TimeoutError:
+            return False
+        try:
+            return await do(task, name)
+        finally:
+            semaphores[task].release()
+
+    return call
+
+
+async def run(seconds: float) -> list[Result]:
+    """All three ways, one after the other."""
+    results = []
+    for name in ("nothing", "semaphore", "emberlatch"):
+        tasks = [Task(), Task()]
+        servers = [PartnerServer(task) for task in tasks]
+        for server in servers:
+            await server.start()
+        addresses = [server.address for server in servers]
+        calls = Calls(addresses)
+        do: Do = calls.call
+        if name == "semaphore":
+            do = limited(calls.call)
+        elif name == "emberlatch":
+            forwarder = Forwarder(addresses)
+            await forwarder.start()
+            do = forwarder.call
+        results.append(await measure(name, do, tasks[0], seconds))
+        for server in servers:
+            await server.stop()
+    return results
+
+
+def table(results: list[Result], seconds: float) -> str:
+    """A row for each way and phase."""
+    lines = ["| way | phase | requests/s | CPU | A good | A ms | B/s | B good | B ms |"]
+    lines.append("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    for result in results:
+        for phase in PHASES:
+            a, b = (result.tallies.get((phase, name), Tally()) for name in NAMES)
+            cells = [f"{(a.done + b.done) / seconds:.0f}", f"{result.cpu[phase]:.0%}"]
+            for tally in (a, b):
+                cells += [f"{tally.done / seconds:.0f}"] if tally is b else []
+                good = f"{tally.good / tally.done:.1%}" if tally.done else "-"
+                cells += [good, f"{1000 * tally.latency / max(tally.done, 1):.0f}"]
+            lines.append(f"| {result.name} | {phase} | {' | '.join(cells)} |")
+    return "\n".join(lines)
+
+
+def plot(results: list[Result]) -> str:
+    """Requests a second over time, on a logarithmic scale, as SVG."""
+    width, height, colours = 720, 300, ("#888", "#c90", "#2a7")
+    parts = [
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{width}" height="{height}" '
+        'font-family="sans-serif" font-size="11">'
+    ]
+    parts.append(f'<rect width="{width}" height="{height}" fill="white"/>')
+    points = len(results[0].rate)
+
+    def place(n: int, rate: float) -> str:
+        return f"{50 + n * (width - 70) / points:.1f},{height - 30 - math.log10(max(rate, 1)) * 60:.1f}"
+
+    for power in range(5):
+        y = height - 30 - power * 60
+        parts.append(
+            f'<text x="4" y="{y}">{10**power}/s</text>'
+            f'<line x1="50" x2="{width}" y1="{y}" y2="{y}" stroke="#eee"/>'
+        )
+    for n, phase in enumerate(PHASES):
+        parts.append(f'<text x="{60 + n * (width - 70) / 3:.0f}" y="{height - 8}">{phase}</text>')
+    for n, (result, colour) in enumerate(zip(results, colours, strict=True)):
+        line = " ".join(place(at, 2 * rate) for at, rate in enumerate(result.rate))
+        parts.append(f'<polyline points="{line}" fill="none" stroke="{colour}" stroke-width="2"/>')
+        parts.append(f'<text x="{width - 110}" y="{20 + 14 * n}" fill="{colour}">{result.name}</text>')
+    return "\n".join([*parts, "</svg>\n"])
+
+
+def main(arguments: list[str]) -> None:
+    """Measure, print the table, write the plot."""
+    seconds = float(arguments[0]) if arguments else 10.0
+    results = asyncio.run(run(seconds))
+    print(table(results, seconds))
+    if len(arguments) > 1:
+        Path(arguments[1]).write_text(plot(results))
+    else:
+        print(json.dumps({result.name: result.rate for result in results}))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/emberlatch/faults/loopback.py
@@ -0,0 +1,49 @@
+"""The same universe on real loopback sockets and the real clock, to see that the virtual one tells the truth.
+
+Only what a real machine can be told to do without privileges: no kills, no silent machine, one forwarder.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from emberlatch.engine.machine import listen
+from emberlatch.faults.plan import OF_DIRECTORY, OF_ENDPOINTS, OF_LIST, Plan
+from emberlatch.faults.world import World
+
+LATENCY = 0.005  # seconds that a packet may take here
+
+
+class Loopback:
+    """Stands in the place of the virtual network."""
+
+    listen = staticmethod(listen)
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def after(self, delay: float, callback: Callable[..., None], *args: Any) -> None:
+        """Something that happens so many seconds from now."""
+        self._loop.call_later(delay, callback, *args)
+
+
+def can_be_real(plan: Plan) -> Plan:
+    """The plan without what only a virtual world can do, and short."""
+    kinds = {*OF_ENDPOINTS, *OF_DIRECTORY, *OF_LIST} - {"silent"}
+    faults = tuple(
+        replace(fault, since=fault.since / 2, until=(fault.until or fault.since) / 2)
+        for fault in plan.faults
+        if fault.what in kinds
+    )
+    return replace(plan, faults=faults, seconds=9.0, forwarders=1)
+
+
+async def play_for_real(plan: Plan) -> World:
+    """Run a universe on this machine's loopback addresses, in real time."""
+    loop = asyncio.get_running_loop()
+    world = World(plan, loop, Loopback(loop))
+    await world.run()
+    return world
--- a/emberlatch/faults/world.py
+++ b/emberlatch/faults/world.py
@@ -20,7 +20,7 @@
 from emberlatch.faults.checks import Breach, Checks, Figures
 from emberlatch.faults.clients import Clients
 from emberlatch.faults.disk import Disk, Moment
-from emberlatch.faults.loop import Process, VirtualLoop, current
+from emberlatch.faults.loop import Process, current
 from emberlatch.faults.network import Network
 from emberlatch.faults.plan import ENDPOINTS, OF_ENDPOINTS, PARTNERS, Fault, Plan
 from emberlatch.net.http import parse_address
@@ -39,6 +39,7 @@
 from emberlatch.standins.behaviour import OUTAGES, Keys
 
 SLOTS, DISK_MB = 8, 0.4
+FIRST_PORT = 21_000  # of the forwarders
 DOWN_FOR = 0.6  # seconds from SIGKILL to the next start
 STOP_FOR = 3.7  # seconds from SIGTERM to SIGKILL
 OLD_PLACE = 1.5  # seconds for which a directory that has moved keeps its connections
@@ -136,7 +137,7 @@
         return self.partner.condition is Condition.HANG and now - self.since > HUNG
 
     def called(self, number: int, process: str, messages: list[Message]) -> None:
-        world = self.world
+        world, process = self.world, process or "f0"
         ids = [message.id for message in messages]
         world.note("call", self.name, number, process, *ids)
         self.load.append((world.now, process))
@@ -280,9 +281,10 @@
 class World:
     """See the module."""
 
-    def __init__(self, plan: Plan, loop: VirtualLoop) -> None:
+    def __init__(self, plan: Plan, loop: Any, network: Any = None) -> None:
+        """On the virtual network of a virtual loop, or on another (`loopback`)."""
         self.plan, self.loop = plan, loop
-        self.network = Network(loop, plan.seed)
+        self.network = network if network is not None else Network(loop, plan.seed)
         self.random = random.Random(f"world {plan.seed}")
         self.began = loop.time()
         self.trace: list[tuple[Any, ...]] = []
@@ -296,7 +298,8 @@
         self.directory = Directory(tap=self)
         self.service = DirectoryServer(self.directory)
         self.forwarders = {
-            f"f{n}": Forwarder(self, f"f{n}", (f"10.1.0.{n + 1}", 5000)) for n in range(plan.forwarders)
+            f"f{n}": Forwarder(self, f"f{n}", (f"127.1.0.{n + 1}", FIRST_PORT + plan.seed % 10_000))
+            for n in range(plan.forwarders)
         }
         self.clients = [
             Clients(self, forwarder.name, forwarder.address) for forwarder in self.forwarders.values()
@@ -305,7 +308,7 @@
     @property
     def now(self) -> float:
         """Seconds since the universe began."""
-        return self.loop.time() - self.began
+        return float(self.loop.time() - self.began)
 
     def note(self, *what: Any) -> None:
         """Write into the trace."""
@@ -373,11 +376,13 @@
     # What the directory's tap hears.
 
     def told(self, process: str, members: list[dict[str, Any]]) -> None:
+        process = process or "f0"  # a real socket does not tell
         self.note("told", process, *(f"{m['id']}={m['phase']}" for m in members))
         for member in members:
             self.checks.told(self.now, process, member["id"], member["phase"] == "SERVING")
 
     def noticed(self, process: str, notice: dict[str, Any]) -> None:
+        process = process or "f0"
         self.note("notice", process, notice["ref"], notice["result"])
         self.checks.noticed(self.now, process, notice["ref"], notice["result"])
 
@@ -487,7 +492,7 @@
             if forwarder.platform is not None:
                 self._emptied(name, forwarder.platform)
         self.checks.overdue(self.now)
-        for failure in self.loop.failures:
+        for failure in getattr(self.loop, "failures", ()):
             self.breach("crash", failure)
         self._service()
 
