Give each test worker ports of its own for processes that are told where to listen

Likely cause, not proven: tests run on all cores since this landing, and a port that the kernel gave and that was closed again can be given to another worker's test before the process listens; the health check is then answered by a forwarder of that test.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import sys
@@ -205,12 +206,26 @@
     }
 
 
+PORTS = itertools.count()
+
+
 async def free_port() -> int:
-    server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-    port: int = server.sockets[0].getsockname()[1]
-    server.close()
-    await server.wait_closed()
-    return port
+    """A port for a process that is told where to listen.
+
+    One that the kernel gives and that is closed again may be given to a test beside this one before the
+    process has it, and then that test's forwarder answers in its place. So each worker has ports of its
+    own, under those that the kernel gives.
+    """
+    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+    while True:
+        port = 12_000 + worker % 16 * 500 + next(PORTS) % 500
+        try:
+            server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", port)
+        except OSError:
+            continue
+        server.close()
+        await server.wait_closed()
+        return port
 
 
 class Process:
