Fault runs: clients and loop name what they need of the world, so that no files import in circles

Seen: faults/clients and world, faults/loop and network imported each other (for types). What they need is said by a small Protocol each (Universe, Connector). No behaviour changes.

--- a/emberlatch/faults/clients.py
+++ b/emberlatch/faults/clients.py
@@ -6,12 +6,10 @@
 import random
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-from emberlatch.faults.plan import PARTNERS
-
-if TYPE_CHECKING:
-    from emberlatch.faults.world import World
+from emberlatch.faults.checks import Checks
+from emberlatch.faults.plan import PARTNERS, Plan
 
 PATIENCE = 0.4  # seconds until a client gives up on an answer
 DEADLINE = 12.0
@@ -21,6 +19,21 @@
 TRIES = 3  # that a message is handed in at most
 
 
+class Universe(Protocol):
+    """What the clients of a universe see of it."""
+
+    plan: Plan
+    checks: Checks
+    loop: Any
+
+    @property
+    def now(self) -> float:
+        """Seconds since it began."""
+
+    def note(self, *what: Any) -> None:
+        """Write into its trace."""
+
+
 @dataclass(slots=True)
 class Wish:
     """What a client wants done, however often it hands it in."""
@@ -35,7 +48,7 @@
 class Clients:
     """Hands in messages to one forwarder."""
 
-    def __init__(self, world: World, name: str, address: tuple[str, int]) -> None:
+    def __init__(self, world: Universe, name: str, address: tuple[str, int]) -> None:
         self.world, self.name, self._address = world, name, address
         self._random = random.Random(f"clients {name} {world.plan.seed}")
         self._idle: list[_Connection] = []
--- a/emberlatch/faults/loop.py
+++ b/emberlatch/faults/loop.py
@@ -15,10 +15,7 @@
 import functools
 import heapq
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, NoReturn
-
-if TYPE_CHECKING:
-    from emberlatch.faults.network import Network
+from typing import Any, NoReturn, Protocol
 
 STEPS = 5_000_000  # callbacks after which a run that goes on is taken for one that never ends
 
@@ -31,6 +28,16 @@
     """Nothing is ready and nothing is due, though the run has not ended; or it does not end."""
 
 
+class Connector(Protocol):
+    """Where a loop's connections come from."""
+
+    async def connect(self, factory: Callable[[], Any], address: Any) -> tuple[Any, Any]:
+        """A transport and its protocol; OSError if it does not come up."""
+
+    def serve(self, factory: Callable[[], Any], address: Any) -> Any:
+        """A server that accepts everything at once."""
+
+
 class Process:
     """What is killed together: callbacks, connections, and a budget of system calls on the disk."""
 
@@ -91,7 +98,7 @@
         self._now = 1000.0
         self._clock_resolution = 1e-9
         self.steps = 0
-        self.network: Network
+        self.network: Connector
         self.set_exception_handler(self._failed)
         self.tasks: list[asyncio.Task[Any]] = []  # all that ever were: none is dropped half-way
         self.failures: list[str] = []  # what reached the loop's own handler
