The directory's client as a machine: what was lost is asked for before it counts as told

Changed: emberlatch/directory decides without I/O or clock when to ask and what to believe: a ledger of what was not heard and when it is due, pauses that leave room for eight tries before, watches of 20 s, a silent one asked anew after 5, 10, 20 s while the quiet call may still speak, answers that go back, moves. net/directory only carries. The module spares held routes of a partner that has a well one while something is overdue. The stand-in directory has one desk for all, with a queue and lost answers; the checks hold forwarders to what counts as told; releases are drawn at 1, 3 and 10 forwarders; seven more planted bugs.

--- /dev/null
+++ b/benchmarks/directory.py
@@ -0,0 +1,194 @@
+"""How a directory is asked while it is overloaded: `python -m benchmarks.directory [seeds] [jobs]`.
+
+Plays releases (`emberlatch faults run --plans release`) with the product's client and with the plain one
+that it replaced, in one run, and tells for 1, 3 and 10 forwarders: universes in which a drain was broken,
+calls to the service a second from each forwarder, and how long it took until a change was told, beside the
+least possible: the work of one call at a service that is up.
+"""
+
+from __future__ import annotations
+
+import math
+import sys
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import nullcontext
+from dataclasses import dataclass, field
+from multiprocessing import get_context
+from typing import Any
+from unittest.mock import patch
+
+from emberlatch.directory import Ask, Drop, Failure, Question
+from emberlatch.faults import Report, play, release
+
+SIZES = (1, 3, 10)
+
+
+class PlainClient:
+    """Watches of 5 s, a call given up 1.8 s later, pauses of 0.5 s doubled up to 4 s by each failure."""
+
+    def __init__(self, seed: int) -> None:
+        self.revision: int | None = None
+        self._wanted, self._pause, self._ask_at = False, 0.5, -math.inf
+        self._number, self._quiet = 0, math.inf
+        self._out: int | None = None
+        self._dropped: list[Ask | Drop] = []
+
+    def known(self, revision: int) -> None:
+        """Start from that list."""
+        self.revision = revision
+
+    def watch(self, active: bool) -> None:
+        """Go on, or stop."""
+        self._wanted = active
+
+    def look_up(self) -> None:
+        """Not played here."""
+
+    def move(self, now: float) -> None:
+        """The service is elsewhere."""
+        if self._out is not None:
+            self._dropped.append(Drop(self._out))
+        self.revision, self._out, self._ask_at, self._pause = None, None, now, 0.5
+
+    def answered(self, now: float, call: int, revision: int, whole: bool) -> bool:
+        """Every answer is believed."""
+        if call != self._out:
+            return False
+        self.revision, self._out, self._ask_at, self._pause = revision, None, now + 0.05, 0.5
+        return True
+
+    def failed(self, now: float, call: int, failure: Failure, retry_after: float = 0.0) -> bool:
+        """Rest, the longer the more often."""
+        if call != self._out:
+            return False
+        self._out, self._ask_at, self._pause = None, now + self._pause, min(4.0, 2 * self._pause)
+        return True
+
+    def act(self, now: float) -> list[Ask | Drop]:
+        """What is to be done."""
+        done, self._dropped = self._dropped, []
+        if self._out is not None and now >= self._quiet:
+            done.append(Drop(self._out))
+            self.failed(now, self._out, Failure.ENDED)
+        if self._wanted and self._out is None and now >= self._ask_at:
+            self._number += 1
+            wait = 0.0 if self.revision is None else 5.0
+            self._out, self._quiet = self._number, now + wait + 1.8
+            done.append(Ask(self._number, Question(self.revision, wait), False))
+        return done
+
+    @property
+    def due(self) -> float:
+        """When `act` has something to do."""
+        if self._dropped:
+            return -math.inf
+        return self._quiet if self._out is not None else self._ask_at if self._wanted else math.inf
+
+    def overdue(self, now: float) -> bool:
+        """It keeps no account."""
+        return False
+
+
+@dataclass
+class Figures:
+    """What is counted over many universes."""
+
+    played: int = 0
+    broken: int = 0
+    calls: float = 0.0  # a second, of each forwarder
+    late: list[float] = field(default_factory=list)  # seconds from a change until it was told, over the least
+    delays: list[float] = field(default_factory=list)
+    least: list[float] = field(default_factory=list)
+
+
+def delays(report: Report) -> Iterator[tuple[float, float]]:
+    """For each change of the list and each forwarder that lived on: seconds until told, and the least."""
+    names = [f"f{n}" for n in range(report.plan.forwarders)]
+    dead = {what[1] for _, *what in report.trace if what[0] == "down"}
+    first_up = max((at for at, *what in report.trace if what[0] == "up"), default=0.0)
+    changes = [(at, what[1], what[2]) for at, *what in report.trace if what[0] == "listed" and at > 1.0]
+    for number, (at, endpoint, phase) in enumerate(changes):
+        later = [c[0] for c in changes[number + 1 :] if c[1] == endpoint]
+        if at < first_up and not dead:
+            continue
+        for who in names:
+            if who in dead:
+                continue
+            told = next(
+                (
+                    t
+                    for t, *w in report.trace
+                    if w[:2] == ["told", who] and t >= at and f"{endpoint}={phase}" in w
+                ),
+                math.inf,
+            )
+            if told < min(later, default=math.inf):  # else another change has taken its place
+                yield told - at, _least(report, at)
+
+
+def _least(report: Report, at: float) -> float:
+    """Seconds until a service that has nothing else to do could tell what changed at that time."""
+    ready, work = at, 0.0
+    for fault in report.plan.faults:
+        if fault.until is None or not fault.since <= at < fault.until:
+            continue
+        if fault.what == "directory-down":
+            ready = max(ready, fault.until)
+        elif fault.what == "directory-busy":
+            work += float(fault.how) * 1.05
+        elif fault.what == "directory-late":
+            work += 1.5
+    return ready - at + work
+
+
+def measure(seed: int, plain: bool) -> tuple[int, bool, float, list[tuple[float, float]]]:
+    """Play one release: forwarders, whether a drain was broken, calls a second of each, delays."""
+    with patch("emberlatch.net.directory.Client", PlainClient) if plain else nullcontext():
+        report = play(release(seed))
+    broken = any(breach.rule == "drains" for breach in report.breaches)
+    asked = sum(what[0] == "asked" for _, *what in report.trace)
+    size = report.plan.forwarders
+    return size, broken, asked / report.plan.seconds / size, list(delays(report))
+
+
+def _at(values: list[float], share: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))] if values else math.nan
+
+
+def main(seeds: int, jobs: int) -> None:
+    """A row for each size and client."""
+    heads = (
+        "forwarders",
+        "client",
+        "universes",
+        "drains broken",
+        "calls/s each",
+        "known after",
+        "p99",
+        "least",
+    )
+    print("| " + " | ".join(heads) + " |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    rows: dict[tuple[int, bool], Figures] = {
+        (size, plain): Figures() for size in SIZES for plain in (True, False)
+    }
+    with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+        for plain in (True, False):
+            every: list[Any] = list(pool.map(measure, range(seeds), [plain] * seeds, chunksize=10))
+            for size, broken, calls, found in every:
+                row = rows[size, plain]
+                row.played, row.broken, row.calls = row.played + 1, row.broken + broken, row.calls + calls
+                row.delays += [delay for delay, _ in found]
+                row.least += [least for _, least in found]
+    for (size, plain), row in rows.items():
+        name = "plain, as before" if plain else "the machine"
+        print(
+            f"| {size} | {name} | {row.played} | {row.broken} | {row.calls / max(row.played, 1):.2f} | "
+            f"{_at(row.delays, 0.5):.2f} s | {_at(row.delays, 0.99):.2f} s | "
+            f"{_at(row.least, 0.5):.2f}, p99 {_at(row.least, 0.99):.2f} s |"
+        )
+
+
+if __name__ == "__main__":
+    main(*(int(word) for word in [*sys.argv[1:], *("300", "8")[len(sys.argv) - 1 :]]))
--- a/emberlatch/cli/faults.py
+++ b/emberlatch/cli/faults.py
@@ -9,7 +9,7 @@
 import click
 
 from emberlatch.cli.common import PATH, fail
-from emberlatch.faults import Plan, PlanError, Report, digest, draw, parse, play, shrink, sweep
+from emberlatch.faults import DRAWS, Plan, PlanError, Report, digest, parse, play, shrink, sweep
 
 
 class Seeds(click.ParamType):  # type: ignore[type-arg]
@@ -26,9 +26,10 @@
 
 
 def _plan(source: str) -> Plan:
-    """The plan of a seed, or the one in a file."""
-    if source.isdigit():
-        return draw(int(source))
+    """The plan of a seed (12, or release:12 for another way to draw), or the one in a file."""
+    kind, colon, seed = source.rpartition(":")
+    if seed.isdigit() and (not colon or kind in DRAWS):
+        return DRAWS[kind or "mixed"](int(seed))
     try:
         return parse(Path(source).read_text())
     except (OSError, PlanError) as error:
@@ -44,18 +45,22 @@
 
 @click.group()
 def faults() -> None:
-    """Play the real code through seeded faults on a virtual clock. A SOURCE is a seed or a plan's file."""
+    """Play the real code through seeded faults on a virtual clock.
+
+    A SOURCE is a seed (12), a seed of another draw (release:12) or the file of a plan.
+    """
 
 
 @faults.command()
 @click.option("--seeds", type=Seeds(), default="0-299", show_default=True)
 @click.option("--jobs", type=click.IntRange(1, 256), default=8, show_default=True)
-def run(seeds: range, jobs: int) -> None:
+@click.option("--plans", type=click.Choice(sorted(DRAWS)), default="mixed", show_default=True)
+def run(seeds: range, jobs: int, plans: str) -> None:
     """Play many seeds; a line for each breach, with the last events before it. Exit 1 if there is any."""
     began, steps, messages = time.perf_counter(), 0, 0
     rules: Counter[str] = Counter()
     with click.progressbar(length=len(seeds), label="seeds") as bar:
-        for verdict in sweep(seeds, jobs):
+        for verdict in sweep(seeds, jobs, plans):
             bar.update(1)
             steps, messages = steps + verdict.steps, messages + verdict.messages
             if verdict.breaches:
--- a/emberlatch/core/interface.py
+++ b/emberlatch/core/interface.py
@@ -297,11 +297,15 @@
 
 @dataclass(frozen=True, slots=True)
 class DirectoryUpdate:
-    """What the directory tells; a FAILED one brings no entries."""
+    """What the directory tells; a FAILED one brings no entries.
+
+    It is `overdue` if by the directory's terms something counts as told by now that was not heard.
+    """
 
     kind: ListKind
     version: int
     entries: tuple[Entry, ...] = ()
+    overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -62,7 +62,7 @@
         self.latest = 2 * settings.round + 0.005  # so long before its end a message is answered
         self.ask_at, self.ask_backoff = (-math.inf if settings.must_ask else math.inf), 0.5
         self.timer, self.timers, self.notes, self.stalled = math.inf, 0, 0, -math.inf
-        self.stops_at = math.inf
+        self.stops_at, self.blind = math.inf, False  # blind: a drain may count as told that was not heard
         self.healthy_cap = max(1, math.ceil(settings.slots * 3 / 4) - 1)
         self.sick_cap = max(1, settings.slots // 2)
         self.handlers: dict[type, Any] = {
@@ -292,7 +292,9 @@
         """Whether a further call may go there now: waits, trials, the budget of a return, pace."""
         if route.held:
             ready = route.probed if self.settings.probes else self.now >= route.next_trial
-            return ready and not route.trial_out and self.now >= route.blocked_until
+            # What refuses while a drain may have gone unheard is likely to be what drains.
+            spared = self.blind and not all(other.held for other in route.pool.routes)
+            return ready and not spared and not route.trial_out and self.now >= route.blocked_until
         if route.pace == math.inf:  # a burst would run into a limit that is known before any refusal
             route.pace = SHARE_FIRST * route.limit / self.settings.forwarders or math.inf
         pace = self._pace(route)
@@ -467,6 +469,7 @@
         route.held = route.probed = False
 
     def _directory(self, event: api.DirectoryUpdate) -> None:
+        self.blind = event.overdue
         if event.kind is ListKind.FAILED:
             self.ask_at, self.ask_backoff = self.now + self.ask_backoff, min(4.0, 2 * self.ask_backoff)
         elif self.settings.must_ask and event.kind is not ListKind.CACHED:
--- a/emberlatch/faults/checks.py
+++ b/emberlatch/faults/checks.py
@@ -19,6 +19,7 @@
 AT_ONCE = 0.35  # seconds that a notice may take once the module has given its message up
 SILENCE = 2.5  # seconds after which a call without an answer says that its endpoint hangs
 KNOWN_AFTER = 6.0  # seconds after its start from which on a forwarder should know what hangs
+TOLD_AFTER_LOOK, TOLD_AFTER_WAIT, TOLD_AFTER_MOVE = 6.0, 2.0, 4.0  # seconds, whether or not it arrived
 ANSWERED = 0.1  # seconds in which an answer may cross a notice
 
 
@@ -44,6 +45,7 @@
     windows: dict[str, float]  # of keyed classes; a repeat is dropped in the same wing only
     wings: dict[str, str]
     latency: float = 0.005  # that a packet takes at most
+    ask_every: float = math.inf  # without a call for so long, what was listed that long ago counts as told
 
 
 @dataclass(slots=True)
@@ -84,6 +86,11 @@
         self._sent: dict[tuple[str, int], float] = {}
         self._open: dict[str, dict[tuple[str, int], str]] = {}  # who -> calls that are out -> partner
         self._told: dict[tuple[str, str], float] = {}  # who, endpoint -> since when it knows of the drain
+        self._shut: dict[str, float] = {}  # endpoint -> since when the directory lists it as not serving
+        self._unheard: dict[
+            str, list[tuple[float, float]]
+        ] = {}  # who -> what was listed until .. is told at ..
+        self._asked: dict[str, float] = {}  # who -> when it last asked the directory
         self._waits: dict[tuple[str, str], tuple[float, float]] = {}  # who, endpoint -> told at, until
         self._saw: dict[str, set[str]] = {}  # endpoint that is out -> who has seen it fail
         self._down: dict[str, float] = {}  # who -> since when it is down or stopping
@@ -112,6 +119,8 @@
         """It is dead: what it had out may have run, and what it was told is forgotten."""
         self._down.setdefault(who, at)
         self._open.pop(who, None)
+        self._unheard.pop(who, None)
+        self._asked.pop(who, None)
         for table in (self._told, self._waits):
             for key in [key for key in table if key[0] == who]:
                 del table[key]
@@ -179,7 +188,7 @@
         self._open.setdefault(who, {})[endpoint, number] = endpoint.partition("-")[0]
         self._isolated(at, who, endpoint)
         sent = at - self.figures.latency
-        told = self._told.get((who, endpoint), math.inf)
+        told = min(self._told.get((who, endpoint), math.inf), self._counts_as_told(who, endpoint))
         if sent > told + self.figures.grace + SLACK:
             self._breach(
                 "drains", at, f"{who} calls {endpoint} {at - told:.3f} s after it heard of its drain"
@@ -291,6 +300,37 @@
         else:
             self._told.setdefault((who, endpoint), at)
 
+    def listed(self, at: float, endpoint: str, serving: bool) -> None:
+        """The directory lists an endpoint in another phase from now on, whoever has heard of it."""
+        if serving:
+            self._shut.pop(endpoint, None)
+        else:
+            self._shut.setdefault(endpoint, at)
+
+    def asked(self, at: float, who: str) -> None:
+        """A forwarder has asked the directory."""
+        self._asked[who] = at
+
+    def lost(self, who: str, asked: float, wait: float | None) -> None:
+        """An answer of the directory was lost; `wait` is that of a watch."""
+        if wait is None:
+            self._unheard.setdefault(who, []).append((asked, asked + TOLD_AFTER_LOOK))
+        else:
+            self._unheard.setdefault(who, []).append((asked + wait, asked + wait + TOLD_AFTER_WAIT))
+
+    def moved(self, at: float, who: str) -> None:
+        """A forwarder was told by SIGHUP that the directory is elsewhere."""
+        self._unheard.setdefault(who, []).append((at, at + TOLD_AFTER_MOVE))
+
+    def _counts_as_told(self, who: str, endpoint: str) -> float:
+        """When a forwarder counts as told that an endpoint serves no more, whether or not it has heard."""
+        since = self._shut.get(endpoint)
+        if since is None or who not in self._asked:
+            return math.inf
+        due = [told for until, told in self._unheard.get(who, ()) if since <= until]
+        had_it_asked = max(since, self._asked[who]) + self.figures.ask_every
+        return max(since, min([had_it_asked, *due]))
+
     # Time.
 
     def tick(self, at: float, hung: set[str]) -> None:
--- a/emberlatch/faults/plan.py
+++ b/emberlatch/faults/plan.py
@@ -20,6 +20,10 @@
 """Faults of an endpoint (`p1-east`), a partner (`p1`) or a wing (`east`)."""
 
 OF_DIRECTORY = ("directory-down", "directory-silent", "directory-late", "directory-garbled", "reports-down")
+OF_SERVICE = ("directory-busy", "directory-losing", "directory-mute")
+"""Of the directory as an overloaded service: seconds of work for each call, every so many answers lost with
+their connection, every so many lost in silence."""
+
 OF_DISK = ("disk-full", "disk-failing", "disk-short")
 OF_PROCESS = ("kill", "term", "move", "kill-at", "wall")
 """Of a forwarder (`f0`): SIGKILL, SIGTERM, discovery at another address by SIGHUP, SIGKILL at a system call
@@ -28,7 +32,7 @@
 OF_LIST = ("drain", "remove", "replace")
 """Of an endpoint in the list: drained and back, removed and listed again, gone and another in its place."""
 
-KINDS = (*OF_ENDPOINTS, *OF_DIRECTORY, *OF_DISK, *OF_PROCESS, *OF_LIST)
+KINDS = (*OF_ENDPOINTS, *OF_DIRECTORY, *OF_SERVICE, *OF_DISK, *OF_PROCESS, *OF_LIST)
 
 
 class PlanError(ValueError):
@@ -107,7 +111,7 @@
     since, until, what, whom, *how = words
     if what not in KINDS:
         raise ValueError(f"{what!r} is no fault; known are {', '.join(KINDS)}")
-    known = (*ENDPOINTS, *PARTNERS, *WINGS, "all", *(f"f{n}" for n in range(8)))
+    known = (*ENDPOINTS, *PARTNERS, *WINGS, "all", *(f"f{n}" for n in range(16)))
     if whom not in known:
         raise ValueError(f"{whom!r} is nobody; known are {', '.join(known[:12])}")
     return Fault(float(since), None if until == "-" else float(until), what, whom, " ".join(how))
@@ -127,6 +131,42 @@
     return Plan(seed, tuple(sorted(faults, key=lambda f: (f.since, f.what, f.whom))), forwarders=forwarders)
 
 
+def release(seed: int) -> Plan:
+    """A release of endpoints while the directory is overloaded, at 1, 3 and 10 forwarders in turn.
+
+    Endpoints are drained or replaced within a few seconds, and the service has one or two troubles meanwhile.
+    It lasts until what was not heard then counts as told.
+    """
+    chance = random.Random(f"release {seed}")
+    forwarders = (1, 3, 10)[seed % 3]
+    faults = []
+    begins = chance.uniform(2.0, 5.0)
+    for endpoint in chance.sample(ENDPOINTS, chance.randint(3, len(ENDPOINTS))):
+        since = begins + chance.uniform(0.0, 6.0)
+        what = chance.choice(("drain", "drain", "replace"))
+        until = since + chance.uniform(2.0, 24.0) if what == "drain" else None
+        faults.append(Fault(round(since, 3), until and round(until, 3), what, endpoint))
+    for _ in range(chance.randint(1, 2)):
+        since = chance.uniform(0.5, begins + 3.0)
+        until = chance.uniform(since + 2.0, CALM_FROM)
+        what = chance.choice((*OF_SERVICE, *OF_SERVICE, "directory-down", "directory-late", "move"))
+        how = {
+            "directory-busy": f"{chance.uniform(0.2, 1.0) / (forwarders + 1):.3f}",
+            "directory-losing": f"{chance.randint(2, 4)}",
+            "directory-mute": f"{chance.randint(3, 5)}",
+        }.get(what, "")
+        whom, end = ("f0", None) if what == "move" else ("all", round(until, 3))
+        faults.append(Fault(round(since, 3), end, what, whom, how))
+    if chance.random() < 0.25:
+        faults.append(Fault(round(chance.uniform(3.0, 9.0), 3), None, chance.choice(("kill", "term")), "f0"))
+    rate = {1: 6.0, 3: 2.5, 10: 1.0}[forwarders]
+    return Plan(seed, tuple(sorted(faults, key=lambda f: (f.since, f.what, f.whom))), 34.0, rate, forwarders)
+
+
+DRAWS = {"mixed": draw, "release": release}
+"""The ways to draw a plan from a seed, by name."""
+
+
 def _drawn(chance: random.Random, since: float, until: float, forwarders: int) -> Fault:
     family = chance.choices((OF_ENDPOINTS, OF_DIRECTORY, OF_DISK, OF_PROCESS, OF_LIST), (10, 3, 1, 5, 4))[0]
     what = chance.choice(family)
--- a/emberlatch/faults/run.py
+++ b/emberlatch/faults/run.py
@@ -15,7 +15,7 @@
 
 from emberlatch.faults.checks import Breach
 from emberlatch.faults.loop import Killed, StuckError, VirtualLoop, current
-from emberlatch.faults.plan import Plan, draw
+from emberlatch.faults.plan import DRAWS, Plan
 from emberlatch.faults.world import World
 
 LAST_EVENTS = 8  # of the trace, that are told with a breach
@@ -111,9 +111,9 @@
     digest: str
 
 
-def judge(seed: int) -> Verdict:
-    """Play the plan of a seed; what is kept can be sent between processes."""
-    report = play(draw(seed))
+def judge(seed: int, kind: str = "mixed") -> Verdict:
+    """Play the plan of a seed, drawn in one of the ways of DRAWS; a verdict can be sent between processes."""
+    report = play(DRAWS[kind](seed))
     last: list[str] = []
     if report.breaches:
         lines = (line for line in report.lines if float(line.split(" ", 1)[0]) <= report.breaches[0].at)
@@ -121,19 +121,19 @@
     return Verdict(seed, report.breaches, tuple(last), report.steps, report.messages, digest(report))
 
 
-def sweep(seeds: Sequence[int], jobs: int) -> Iterator[Verdict]:
+def sweep(seeds: Sequence[int], jobs: int, kind: str = "mixed") -> Iterator[Verdict]:
     """Play many seeds on so many processes; verdicts come as they are ready."""
     if jobs == 1:
-        yield from map(judge, seeds)
+        yield from (judge(seed, kind) for seed in seeds)
         return
     with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
-        running = [pool.submit(_chunk, seeds[at : at + CHUNK]) for at in range(0, len(seeds), CHUNK)]
+        running = [pool.submit(_chunk, seeds[at : at + CHUNK], kind) for at in range(0, len(seeds), CHUNK)]
         for done in as_completed(running):
             yield from done.result()
 
 
-def _chunk(seeds: Sequence[int]) -> list[Verdict]:
-    return [judge(seed) for seed in seeds]
+def _chunk(seeds: Sequence[int], kind: str) -> list[Verdict]:
+    return [judge(seed, kind) for seed in seeds]
 
 
 def shrink(plan: Plan, rule: str) -> Plan:
--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -1,4 +1,4 @@
-"""Discovery: the known list, lookups and the watch, as updates for the decision module."""
+"""Discovery over HTTP: carries out what `emberlatch.directory` decides, and tells the lists that come."""
 
 from __future__ import annotations
 
@@ -10,21 +10,28 @@
 from typing import Any
 
 from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Phase
+from emberlatch.directory import Ask, Client, Drop, Failure, Question
 from emberlatch.engine import Address, Addresses, Tasks
-from emberlatch.net.http import BrokenError, Connection, connect, parse_address
+from emberlatch.net.http import BrokenError, Connection, Response, connect, parse_address
 
 log = logging.getLogger(__name__)
 
-WATCH_FOR = 5.0  # seconds that one call of the watch may wait: so long a silent service goes unnoticed
-LEAST_GAP = 0.05  # seconds between two calls of it
-PATIENCE = 1.8  # seconds beyond that until it counts as failed: after 2, what it had to tell counts as told
+CONNECT = 1.8  # seconds in which a connection to the service must come up
 MAX_LIST = 1 << 20  # bytes of a list
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError)
 PHASES = {"SERVING": Phase.READY, "DRAINING": Phase.DRAINING, "DELETED": Phase.GONE}
 
 
+class _FailedError(Exception):
+    """A call brought nothing that can be taken."""
+
+    def __init__(self, failure: Failure, why: str, retry_after: float = 0.0) -> None:
+        super().__init__(why)
+        self.failure, self.retry_after = failure, retry_after
+
+
 class Directory:
-    """Keeps one watch going; `tell` gets each update with the addresses of its targets."""
+    """Membership by a directory service; `tell` gets each update with the addresses of its targets."""
 
     def __init__(
         self,
@@ -33,90 +40,118 @@
         settings: Mapping[str, Any],
         tell: Callable[[DirectoryUpdate, Addresses], None],
         tasks: Tasks,
+        seed: int,
     ) -> None:
         self._service, self._known, self._tell, self._tasks = service, known, tell, tasks
         self._zones: Sequence[str] = settings.get("failure-domains") or ()
         self._kinds: Sequence[str] = settings.get("machine-types") or ()
-        self._revision: int | None = None
-        self._wanted = False
-        self._watching: asyncio.Task[None] | None = None
-        self._looking: asyncio.Task[None] | None = None
+        self._client = Client(seed)
+        self._calls: dict[int, asyncio.Task[None]] = {}
+        self._kept: Connection | None = None  # of the last call that went well
+        self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Start from the list that came with the configuration; raises one of UNREADABLE."""
-        self._take(self._known, cached=True)
+        revision, _, entries, addresses = self.read(self._known)
+        self._client.known(revision)
+        self._tell(DirectoryUpdate(ListKind.CACHED, revision, tuple(entries)), addresses)
 
     def watch(self, active: bool) -> None:
         """Begin to watch, or go on; or stop after the present call."""
-        self._wanted = active
-        if active and not _runs(self._watching):
-            self._watching = self._tasks.spawn(self._watch())
+        self._client.watch(active)
+        self._go_on()
 
     def look_up(self) -> None:
         """Ask for the whole list once; a second one while the first is out would tell the same."""
-        if not _runs(self._looking):
-            self._looking = self._tasks.spawn(self._look_up())
+        self._client.look_up()
+        self._go_on()
 
     def move(self, service: Address) -> None:
         """From now on discovery is elsewhere: nothing that the old place still says counts."""
-        for task in (self._watching, self._looking):
-            if task is not None:
-                task.cancel()
-        self._watching = self._looking = None
-        # Revisions belong to the place that gave them: the new one is asked for the whole list.
-        self._service, self._revision = service, None
-
-    async def _look_up(self) -> None:
-        connection = await self._ask(None, "/v1/servers", 0.0)
-        if connection is not None:
-            connection.close()
+        self._service = service
+        self._keep(None)
+        self._client.move(asyncio.get_running_loop().time())
+        self._go_on()
 
-    async def _watch(self) -> None:
-        connection: Connection | None = None
+    def _go_on(self) -> None:
+        """Do what is to be done, and come again when time alone brings more."""
         loop = asyncio.get_running_loop()
+        for action in self._client.act(loop.time()):
+            if isinstance(action, Ask):
+                self._calls[action.call] = self._tasks.spawn(self._call(action))
+            else:
+                self._drop(action)
+        if self._timer is not None:
+            self._timer.cancel()
+        due = self._client.due
+        self._timer = loop.call_at(due, self._go_on) if due < math.inf else None
+
+    def _drop(self, action: Drop) -> None:
+        task = self._calls.pop(action.call, None)
+        if task is not None and task.cancel():
+            log.info("discovery: a call is given up")
+            self._tell_failed()
+
+    async def _call(self, ask: Ask) -> None:
         try:
-            while self._wanted:
-                asked = loop.time()
-                path = "/v1/servers"
-                if self._revision is not None:
-                    path += f"?since={self._revision}&timeout_ms={WATCH_FOR * 1000:.0f}"
-                connection = await self._ask(connection, path, WATCH_FOR)
-                if connection is None:
-                    return
-                # A watch goes on if the next call comes within 200 ms: time enough not to spin on a
-                # service that answers at once, again and again.
-                await asyncio.sleep(max(0.0, asked + LEAST_GAP - loop.time()))
-        finally:  # also when this task is cancelled between two calls
-            if connection is not None:
-                connection.close()
-
-    async def _ask(self, connection: Connection | None, path: str, wait: float) -> Connection | None:
-        """One call; its connection if it went well. A failure is told to the decision module."""
-        request = f"GET {path} HTTP/1.1\r\nHost: {self._service[0]}:{self._service[1]}\r\n\r\n"
-        good = False
+            document = json.loads((await self._exchange(ask)).body)
+            revision, whole, entries, addresses = self.read(document)
+        except UNREADABLE as error:
+            return self._failed(ask.call, Failure.UNREADABLE, 0.0, repr(error))
+        except _FailedError as error:
+            return self._failed(ask.call, error.failure, error.retry_after, str(error))
+        finally:
+            self._calls.pop(ask.call, None)
+        if self._client.answered(asyncio.get_running_loop().time(), ask.call, revision, whole):
+            kind = ListKind.FULL if whole else ListKind.DELTA
+            self._tell(DirectoryUpdate(kind, revision, tuple(entries)), addresses)
+        else:
+            log.info("discovery: an answer of revision %d is passed over", revision)
+        self._go_on()
+
+    def _failed(self, call: int, failure: Failure, retry_after: float, why: str) -> None:
+        log.info("discovery failed: %s", why)
+        if self._client.failed(asyncio.get_running_loop().time(), call, failure, retry_after):
+            self._tell_failed()
+        self._go_on()
+
+    def _tell_failed(self) -> None:
+        overdue = self._client.overdue(asyncio.get_running_loop().time())
+        self._tell(DirectoryUpdate(ListKind.FAILED, self._client.revision or 0, overdue=overdue), {})
+
+    async def _exchange(self, ask: Ask) -> Response:
+        """One call; its connection is kept if it went well, and ends with it otherwise."""
+        connection, good = None if ask.anew else self._kept, False
+        if connection is not None:
+            self._kept = None
         try:
-            async with asyncio.timeout(wait + PATIENCE):
-                if connection is None or not connection.usable:
-                    connection = await connect(self._service, PATIENCE, MAX_LIST)
-                response = await connection.exchange(request.encode())
+            if connection is None or not connection.usable:
+                connection = await self._connect()
+            response = await connection.exchange(_request(self._service, ask.question))
             if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            self._take(json.loads(response.body), cached=False)
+                after = _seconds(response.headers.get("retry-after"))
+                raise _FailedError(Failure.ENDED, f"status {response.status}", after)
             good = True
-            return connection
-        except (OSError, BrokenError, *UNREADABLE) as error:
-            log.info("discovery failed: %r", error)
-            self._tell(DirectoryUpdate(ListKind.FAILED, self._revision or 0), {})
-            return None
+            return response
+        except BrokenError as error:
+            raise _FailedError(Failure.ENDED if error.written else Failure.UNSENT, str(error)) from error
         finally:  # also when this task is cancelled
             if connection is not None and not good:
                 connection.close()
+            elif connection is not None:
+                self._keep(connection)
+
+    async def _connect(self) -> Connection:
+        try:
+            return await connect(self._service, CONNECT, MAX_LIST)
+        except OSError as error:
+            raise _FailedError(Failure.UNSENT, repr(error)) from error
 
-    def _take(self, document: Mapping[str, Any], cached: bool) -> None:
-        revision, whole, entries, addresses = self.read(document)
-        self._revision = revision
-        kind = ListKind.CACHED if cached else ListKind.FULL if whole else ListKind.DELTA
-        self._tell(DirectoryUpdate(kind, revision, tuple(entries)), addresses)
+    def _keep(self, connection: Connection | None) -> None:
+        """One connection at a time is kept for the next call."""
+        if self._kept is not None:
+            self._kept.close()
+        self._kept = connection
 
     def read(self, document: Mapping[str, Any]) -> tuple[int, bool, list[Entry], dict[bytes, Address]]:
         """Revision, whether it is whole, members and their addresses; raises one of UNREADABLE."""
@@ -144,8 +179,20 @@
         )
 
 
-def _runs(task: asyncio.Task[None] | None) -> bool:
-    return task is not None and not task.done()
+def _request(service: Address, question: Question) -> bytes:
+    path = "/v1/servers"
+    if question.since is not None:
+        path += f"?since={question.since}&timeout_ms={question.wait * 1000:.0f}"
+    return f"GET {path} HTTP/1.1\r\nHost: {service[0]}:{service[1]}\r\n\r\n".encode()
+
+
+def _seconds(text: str | None) -> float:
+    """A pause that the service asks for; none if it can't be read."""
+    try:
+        value = float(text or 0)
+    except ValueError:
+        return 0.0
+    return value if 0 < value < math.inf else 0.0
 
 
 def _finite(value: Any) -> float:
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -125,7 +125,9 @@
         self.server = Server(config.listen, Api(engine.submit), config.most_clients, tasks, machine=machine)
         self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks)
         self.notices = Notices(config.discovery, engine.confirmed, tasks)
-        self.directory = Directory(config.discovery, config.known, config.raw_settings, engine.listed, tasks)
+        self.directory = Directory(
+            config.discovery, config.known, config.raw_settings, engine.listed, tasks, config.seed
+        )
         engine.join([self.server], self.targets, self.directory, self.notices)
 
     async def start(self) -> None:
--- a/emberlatch/standins/partner.py
+++ b/emberlatch/standins/partner.py
@@ -33,7 +33,7 @@
         self.partner, self.tap = partner, tap
         self.calls = 0
         self.connections = 0
-        self._open: set[_Connection] = set()
+        self._open: dict[_Connection, None] = {}
         self._server: asyncio.Server | None = None
         self._port = 0
 
@@ -67,11 +67,11 @@
     def joined(self, connection: _Connection) -> None:
         """Count a connection in."""
         self.connections += 1
-        self._open.add(connection)
+        self._open[connection] = None
 
     def left(self, connection: _Connection) -> None:
         """Count it out."""
-        self._open.discard(connection)
+        self._open.pop(connection, None)
 
 
 class _Connection(asyncio.Protocol):
--- a/tests/faults/mutations.py
+++ b/tests/faults/mutations.py
@@ -11,6 +11,8 @@
 
 from emberlatch.core.interface import Effect, Outcome, Phase, Result
 from emberlatch.core.rules import Forwarder
+from emberlatch.directory import Client, Drop, Failure, Pauses
+from emberlatch.directory import client as directory_client
 from emberlatch.engine.engine import Engine
 from emberlatch.net import targets
 from emberlatch.net.directory import Directory
@@ -353,3 +355,78 @@
             real(self, item, result, closed, *more, **named)
 
     return tell
+
+
+# Of the directory's client and of what the module does while it is blind.
+
+
+def _client(name: str, change: Callable[[Any], Any]) -> Any:
+    return patch.object(Client, name, change(getattr(Client, name)))
+
+
+@planted
+def lost_answer_counts_as_taken() -> Any:
+    """What the service has gone on to is taken for what is known."""
+
+    def change(real: Any) -> Any:
+        def failed(self: Client, now: float, call: int, failure: Failure, retry_after: float = 0.0) -> bool:
+            if failure is Failure.ENDED and self.revision is not None:
+                self.revision += 1
+            return bool(real(self, now, call, failure, retry_after))
+
+        return failed
+
+    return _client("failed", change)
+
+
+@planted
+def pause_passes_over_what_is_due() -> Any:
+    return patch.object(Pauses, "next", lambda self, left, told=0.0: 30.0)
+
+
+@planted
+def failed_watch_is_not_begun_again() -> Any:
+    def change(real: Any) -> Any:
+        def failed(self: Client, *told: Any) -> bool:
+            news = bool(real(self, *told))
+            self._rest_until = self._rest_until + 60.0 if news else self._rest_until
+            return news
+
+        return failed
+
+    return _client("failed", change)
+
+
+@planted
+def silent_watch_is_waited_for() -> Any:
+    return patch.object(directory_client, "QUIET", 60.0)
+
+
+@planted
+def last_member_of_a_change_is_dropped() -> Any:
+    real = Directory.read
+
+    def read(self: Directory, document: Any) -> Any:
+        revision, whole, entries, addresses = real(self, document)
+        return revision, whole, entries if whole else entries[:-1], addresses
+
+    return patch.object(Directory, "read", read)
+
+
+@planted
+def watch_rests_for_long() -> Any:
+    return patch.object(directory_client, "GAP", 15.0)
+
+
+@planted
+def call_that_was_given_up_blocks_the_next() -> Any:
+    def change(real: Any) -> Any:
+        def act(self: Client, now: float) -> list[Any]:
+            done = real(self, now)
+            return (
+                [a for a in done if isinstance(a, Drop)] if any(isinstance(a, Drop) for a in done) else done
+            )
+
+        return act
+
+    return _client("act", change)
--- /dev/null
+++ b/tests/standins/test_directory.py
@@ -0,0 +1,128 @@
+"""The stand-in directory as one overloaded service: in turn, with a queue, and with answers that are lost."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from emberlatch.faults.loop import VirtualLoop
+from emberlatch.faults.network import Network
+from emberlatch.net.http import BrokenError, Connection, connect, parse_address
+from emberlatch.standins import Desk, Directory, DirectoryServer, Load
+
+
+class Tap:
+    """Writes down what passes."""
+
+    def __init__(self) -> None:
+        self.heard: list[tuple[Any, ...]] = []
+
+    def asked(self, process: str) -> None:
+        self.heard.append(("asked",))
+
+    def told(self, process: str, members: list[dict[str, Any]]) -> None:
+        self.heard.append(("told", [member["id"] for member in members]))
+
+    def lost(self, process: str, asked: float, wait: float | None) -> None:
+        self.heard.append(("lost", wait))
+
+    def noticed(self, process: str, notice: dict[str, Any]) -> None:
+        pass
+
+
+def served(test: Callable[[Directory, DirectoryServer, Tap], Awaitable[None]]) -> None:
+    """Run against a directory of three members on a virtual clock."""
+    loop = VirtualLoop()
+    Network(loop, 1, latency=0.0)
+    tap = Tap()
+    directory = Directory(tap=tap)
+    for name in ("a", "b", "c"):
+        directory.change(name, phase="SERVING")
+    server = DirectoryServer(directory)
+
+    async def run() -> None:
+        await server.start()
+        await test(directory, server, tap)
+
+    loop.run_until_complete(run())
+
+
+async def ask(server: DirectoryServer, query: str = "") -> tuple[int, float, Any]:
+    """Status, how long it took, and the document."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    connection: Connection = await connect(parse_address(server.address), 1.0, 1 << 20)
+    answer = await connection.exchange(f"GET /v1/servers{query} HTTP/1.1\r\n\r\n".encode())
+    took = loop.time() - began
+    return answer.status, round(took, 3), json.loads(answer.body) if answer.body else None
+
+
+def test_calls_are_worked_through_in_turn_and_the_longer_the_list_the_slower() -> None:
+    async def test(directory: Directory, server: DirectoryServer, tap: Tap) -> None:
+        directory.desk.load = Load(call=0.2, line=0.1, patience=1.0)
+        answers = await asyncio.gather(*(ask(server) for _ in range(4)))
+        assert sorted((took, status) for status, took, _ in answers) == [
+            (0.5, 200),
+            (1.0, 200),
+            (1.0, 503),  # it would have had to wait for 1.5 s
+            (1.5, 200),
+        ]
+        assert (await ask(server, "?since=3&timeout_ms=0"))[1] == 0.3  # one line
+
+    served(test)
+
+
+def test_a_change_puts_every_watch_into_the_queue_once_more() -> None:
+    async def test(directory: Directory, server: DirectoryServer, tap: Tap) -> None:
+        directory.desk.load = Load(call=0.1)
+        watches = [asyncio.ensure_future(ask(server, "?since=4&timeout_ms=9000")) for _ in range(3)]
+        await asyncio.sleep(2.0)
+        directory.change("a", phase="DRAINING")
+        took = sorted([(await watch)[1] for watch in watches])
+        assert took == [2.1, 2.2, 2.3]
+        assert await ask(server, "?since=5&timeout_ms=500") == (
+            200,
+            0.6,
+            {"revision": 5, "complete": False, "members": []},
+        )
+
+    served(test)
+
+
+def test_a_service_that_goes_down_ends_its_watches() -> None:
+    async def test(directory: Directory, server: DirectoryServer, tap: Tap) -> None:
+        watch = asyncio.ensure_future(ask(server, "?since=4&timeout_ms=9000"))
+        await asyncio.sleep(1.0)
+        directory.down = True
+        directory.wake()
+        assert (await watch)[:2] == (503, 1.0)
+
+    served(test)
+
+
+def test_every_second_answer_is_lost_and_the_tap_hears_which() -> None:
+    async def test(directory: Directory, server: DirectoryServer, tap: Tap) -> None:
+        directory.desk.lose_every = 2
+        assert (await ask(server))[0] == 200
+        try:
+            await ask(server, "?since=1&timeout_ms=3000")
+        except BrokenError as error:
+            assert error.written
+        assert tap.heard == [("asked",), ("told", ["a", "b", "c"]), ("asked",), ("lost", 3.0)]
+        assert (await ask(server))[0] == 200
+        directory.mute = True
+        silent = asyncio.ensure_future(ask(server))
+        await asyncio.sleep(60.0)
+        assert not silent.done() and tap.heard[-1] == ("lost", None)
+        silent.cancel()
+
+    served(test)
+
+
+def test_a_desk_gives_turns_and_costs_nothing_for_those_that_wait_too_long() -> None:
+    desk = Desk(Load(call=1.0, patience=1.5))
+    assert [desk.turn(0.0, 0).at for _ in range(3)] == [1.0, 2.0, 1.5]
+    assert [desk.turn(0.0, 0).worked for _ in range(2)] == [False, False]
+    assert desk.turn(2.0, 0).at == 3.0
