Refuse at once what can't expect its turn before its end; one for each route stays to try it

By the code _wait_end is unbounded once clients that are refused have not come again.

Changed: _hopeless_from: a told wait ends when it says; a route that has served nothing since its first unanswered call is expected to go on so for a third of its age. Where the best route's turn is after the message's last moment it is refused with when to come again.

--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -130,6 +130,7 @@
         endpoint.route.calls[self] = None
         endpoint.route.pool.leases += 1
         endpoint.route.bucket.tokens -= 1
+        endpoint.route.unheard = min(endpoint.route.unheard, now)
         endpoint.route.trial_out = trial
         endpoint.calls += 1
 
@@ -157,6 +158,7 @@
         self.last_ok = -math.inf
         self.fails, self.failing = 0, 0.0  # failures in a row, and since when
         self.blocked_until = -math.inf
+        self.unheard = math.inf  # since when it has been called and has served nothing; inf: it serves
         self.held = self.unwell = self.trial_out = self.probed = False
         self.next_trial = 0.0  # of a held or returning route
         self.ramp_until = -math.inf  # cold till then
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -37,6 +37,7 @@
 KNOWN = 30  # successes from which on a destination's ways are known, so that one sign is enough
 RETRY_PAUSE = 0.05  # seconds; doubled by each attempt where others crowd in as well
 STOP_ROOM = 3.0  # usual latencies that a call is given to end before the forwarder does
+LASTS = 1 / 3  # of its age an outage is expected to last on; all of it refuses too much of what comes in time
 STALL, NOTES = 0.2, 60  # a timer so late says that we stood still ourselves; log lines in one life
 
 
@@ -109,6 +110,7 @@
         brief = self._brief(pool)
         for message in pool.waiting.values():
             times += [message.end - self.latest, self._wait_end(message, pool, brief)]
+            times.append(self._hopeless_from(message, pool))
             times += [message.not_before, self.lines.rests_until(message.key)]
         for route in pool.routes if pool.waiting else ():
             times += [route.blocked_until, route.next_trial, route.bucket.ready_at(self._pace(route))]
@@ -186,12 +188,32 @@
             return math.inf
         return min(message.aim - pool.normal, message.arrived + brief)
 
+    def _hopeless_from(self, message: Message, pool: Pool) -> float:
+        """When it can't expect its turn before its end any more.
+
+        A route that was called and has served nothing for some time is expected to go on so in proportion,
+        for of an outage only its age is known. The end of a told wait is known.
+        """
+        last = message.end - pool.normal
+        return max(
+            (
+                -math.inf if r.blocked_until > last else (last + LASTS * r.unheard) / (1 + LASTS)
+                for r in pool.routes
+            ),
+            default=math.inf,
+        )
+
     def _give_up(self, pool: Pool) -> None:
-        """The brief wait ends before the aim; every message is answered before its end."""
-        brief = self._brief(pool)
+        """The brief wait ends before the aim; what has no prospect is told so at once; all before the end."""
+        brief, asking = self._brief(pool), sum(not route.trial_out for route in pool.routes)
         for message in list(pool.waiting.values()):
             over = self.now >= message.end - self.latest or message.attempts >= self.settings.max_attempts
             waited = self.now >= self._wait_end(message, pool, brief)
+            if not over and not waited and self.now >= self._hopeless_from(message, pool):
+                waited, asking = (
+                    asking <= 0,
+                    asking - 1,
+                )  # some stay: who else would find out that it is back?
             if over or (waited and self._may_refuse(message)):
                 self._end(message)
 
@@ -455,7 +477,11 @@
             at_most = min(elapsed, 2 * pool.normal or elapsed)
             pool.normal += (at_most - pool.normal) * max(1 / pool.samples, 0.03)
         self._release(route)
-        route.fails, route.last_ok = 0, now
+        route.fails, route.last_ok, route.unheard = (
+            0,
+            now,
+            min((c.sent for c in route.calls), default=math.inf),
+        )
         if route.pace < math.inf:
             route.pace = min(route.pace + FASTER * (route.pace + 1), route.limit or math.inf)
 
--- /dev/null
+++ b/tests/core/test_release.py
@@ -0,0 +1,126 @@
+"""Waiting ends when waiting can't help, and goes on where a lease comes in time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from emberlatch import Forwarder
+from emberlatch.core import interface as api
+from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Result
+from tests.core.test_membership import RULES, sends
+
+NOTE = api.Category("note", api.Effect.SAFE, aim=0.5, deadline=12.0)
+ORDER = api.Category("order", api.Effect.UNSAFE, aim=0.5, deadline=12.0)
+
+
+def module(*targets: bytes, **changes: Any) -> Forwarder:
+    values: dict[str, Any] = {
+        "categories": (NOTE, ORDER),
+        "slots": 4,
+        "open_cap": 200,
+        "rules": RULES,
+        "max_attempts": 6,
+    }
+    values |= {"separate_routes": (True,), "retry_after": True, "max_retry_after": 2.0}
+    made = Forwarder(api.Settings(**(values | changes)), seed=1)
+    made.refused = 10  # clients that are turned away have not come again
+    entries = tuple(Entry(target, 7) for target in targets or (b"t",))
+    made.handle(0.0, [DirectoryUpdate(ListKind.CACHED, 1, entries)])
+    return made
+
+
+def play(
+    made: Forwarder, until: float, events: dict[float, list[api.Event]]
+) -> list[tuple[float, api.Action]]:
+    """Let time pass with timers and events; every call hangs."""
+    done: list[tuple[float, api.Action]] = []
+    now = 0.0
+    while now < until:
+        now = min(until, made.timer, *(at for at in events if at > now))
+        done += [(now, action) for action in made.handle(now, [api.TimerFired(0), *events.get(now, [])])]
+    return done
+
+
+def refused(done: list[tuple[float, api.Action]]) -> dict[int, float]:
+    return {action.ref: at for at, action in done if isinstance(action, api.Refuse)}
+
+
+def arrive(ref: int, remaining: float, category: int = 0) -> api.Event:
+    return api.Arrival(ref, category, 7, remaining)
+
+
+def serving(made: Forwarder) -> None:
+    """Forty answers of 10 ms: the destination is known."""
+    for n in range(40):
+        at = n / 20
+        made.handle(at, [arrive(1000 + n, 12.0)])
+        made.handle(at + 0.01, [api.Outcome(1000 + n, 0, b"t", Result.OK, 0.01, closed=True)])
+
+
+def test_what_hangs_for_three_times_what_is_left_is_not_waited_for() -> None:
+    made = module()
+    serving(made)
+    events = {2.1 + n / 1000: [arrive(n, 1.0)] for n in range(10)}
+    events |= {8.0 + n / 1000: [arrive(100 + n, 1.0)] for n in range(10)}
+    done = refused(play(made, 8.1, events))
+    first = sorted(done[n] for n in range(10) if n in done)[:-1]  # the last one has stayed for a trial
+    assert len(first) >= 5 and max(first) < 2.1 + 0.8  # its time is up at 3.1; a lease would come after that
+    late = [done[n] - (8.0 + (n - 100) / 1000) for n in range(100, 110) if n in done]
+    assert len(late) >= 8 and max(late) < 0.05  # 5.9 s of silence: at once
+
+
+def test_a_refusal_for_want_of_prospect_tells_when_to_come_again() -> None:
+    made = module()
+    serving(made)
+    events = {2.1: [arrive(n, 1.0) for n in range(8)]}
+    (one, *_) = (a for _, a in play(made, 3.0, events) if isinstance(a, api.Refuse))
+    assert 0 < one.retry_after <= made.settings.max_retry_after
+
+
+def test_a_told_wait_longer_than_what_is_left_is_not_sat_out() -> None:
+    made = module()
+    (send,) = sends(made.handle(1.0, [arrive(1, 3.0)]))
+    actions = made.handle(1.1, [api.Outcome(1, 0, send.target, Result.FULL, 0.1, hold=9.0), arrive(2, 3.0)])
+    assert [a.ref for a in actions if isinstance(a, api.Refuse)]
+    made = module()
+    made.handle(1.0, [arrive(1, 12.0)])
+    actions = made.handle(1.1, [api.Outcome(1, 0, b"t", Result.FULL, 0.1, hold=2.0), arrive(2, 12.0)])
+    assert not [a for a in actions if isinstance(a, api.Refuse)]  # it is over long before
+
+
+def test_where_a_lease_comes_in_time_a_message_is_held() -> None:
+    made = module()
+    serving(made)
+    events = {2.1: [arrive(n, 12.0) for n in range(8)]}
+    assert not refused(play(made, 4.0, events))  # 2 s of silence, 10 s are left
+
+
+def test_one_message_stays_to_find_out_that_it_is_back() -> None:
+    made = module()
+    serving(made)
+    events: dict[float, list[api.Event]] = {2.1: [arrive(n, 12.0) for n in range(4)]}
+    events |= {20.0 + n / 10: [arrive(100 + n, 1.0)] for n in range(30)}
+    for n in range(4):
+        events[14.0 + n / 1000] = [api.Outcome(n, 0, b"t", Result.TIMEOUT, 12.0)]
+    tried = [at for at, action in play(made, 23.0, events) if isinstance(action, api.Send) and at >= 20.0]
+    assert tried
+
+
+def test_another_route_that_serves_is_prospect_enough() -> None:
+    made = module(b"t", b"u")
+    serving(made)
+    made.endpoints[b"t"].route.unheard = -100.0
+    made.endpoints[b"u"].route.unheard = float("inf")
+    made.free = 0
+    assert not refused([(3.0, action) for action in made.handle(3.0, [arrive(1, 1.0)])])
+
+
+def test_what_may_have_run_and_may_not_be_refused_is_not() -> None:
+    made = module()
+    serving(made)
+    sent = sends(made.handle(2.1, [arrive(1, 12.0, category=1)]))
+    assert sent
+    made.endpoints[b"t"].route.unheard = -100.0
+    actions = made.handle(3.0, [api.Outcome(1, 0, b"t", Result.RESET, 0.9)])
+    assert not refused([(3.0, action) for action in actions])
+    assert [action for action in actions if isinstance(action, api.Fail)]  # unsafe: nothing is left to try
