A quiet call that is given up for its successor's answer leaves nothing unheard

Seen on rereading: Client.answered settled the ledger first and dropped the quiet call after, which entered it as a new debt. 22 s after its question the client counted as overdue though it had heard everything: pauses cut for nothing, and held routes spared by the module. The order is turned; a test fails without it.

--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -210,10 +210,8 @@
             over = self.now >= message.end - self.latest or message.attempts >= self.settings.max_attempts
             waited = self.now >= self._wait_end(message, pool, brief)
             if not over and not waited and self.now >= self._hopeless_from(message, pool):
-                waited, asking = (
-                    asking <= 0,
-                    asking - 1,
-                )  # some stay: who else would find out that it is back?
+                # Some stay: who else would find out that it is back?
+                waited, asking = asking <= 0, asking - 1
             if over or (waited and self._may_refuse(message)):
                 self._end(message)
 
--- a/emberlatch/directory/client.py
+++ b/emberlatch/directory/client.py
@@ -136,10 +136,10 @@
             return False  # else: a slow answer, older than one that was taken while it was out
         self._quiet = QUIET if revision != known else self._quiet
         self.revision, self._taken = revision, now
+        if call == self._watching:
+            self._drop_former()  # before what was unheard is settled: this answer holds what that one would
         self.ledger.heard()
         self._pauses.reset()
-        if call == self._watching:
-            self._drop_former()
         self._rest(call, now + GAP)
         return True
 
--- a/tests/directory/test_client.py
+++ b/tests/directory/test_client.py
@@ -139,6 +139,7 @@
     again = asked(client, QUIET)
     assert client.answered(QUIET + 0.01, again.call, 6, whole=False)
     assert client.act(QUIET + 0.01) == [Drop(quiet.call)]
+    assert client.ledger.due == math.inf  # what the quiet one would have told is in the answer
 
 
 def test_a_slow_answer_older_than_one_taken_is_passed_over() -> None:
