Where lists are pushed, watch the agent from the start: drains were never heard of

Cause: a watch is begun by the module's Watch action, which it gives only where discovery is asked (must_ask, rules.py _set_timer). Change: Directory begins its watch at its start unless the settings say that discovery is asked. The drain test runs for both kinds and fails without the change.

--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -43,6 +43,7 @@
         seed: int,
     ) -> None:
         self._service, self._known, self._tell, self._tasks = service, known, tell, tasks
+        self._pushed = settings.get("discovery") != "ask"
         self._zones: Sequence[str] = settings.get("failure-domains") or ()
         self._kinds: Sequence[str] = settings.get("machine-types") or ()
         self._client = Client(seed)
@@ -51,10 +52,16 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        """Start from the list that came with the configuration; raises one of UNREADABLE."""
+        """Start from the list that came with the configuration; raises one of UNREADABLE.
+
+        Where lists are pushed the module asks for none: they come by a watch of an agent beside us, and
+        whatever that agent has been sent counts as told.
+        """
         revision, _, entries, addresses = self.read(self._known)
         self._client.known(revision)
         self._tell(DirectoryUpdate(ListKind.CACHED, revision, tuple(entries)), addresses)
+        if self._pushed:
+            self.watch(True)
 
     def watch(self, active: bool) -> None:
         """Begin to watch, or go on; or stop after the present call."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -45,7 +45,7 @@
 
 @asynccontextmanager
 async def node(
-    folder: Path, handler: Handler, flavor: str = "rural-bank", **limits: float
+    folder: Path, handler: Handler, flavor: str = "rural-bank", discovery: str = "ask", **limits: float
 ) -> AsyncIterator[tuple[int, Peer, Platform, Node]]:
     """A forwarder in this process; its port, target and platform."""
     async with Peer(handler) as target:
@@ -53,7 +53,10 @@
         async with Peer(platform.handle) as service:
             port = await free_port()
             path = folder / "config.json"
-            path.write_text(json.dumps(config(service.address, platform.document(), port, **limits)))
+            document = config(service.address, platform.document(), port, **limits)
+            path.write_text(
+                json.dumps(document | {"settings": document["settings"] | {"discovery": discovery}})
+            )
             (folder / "state").mkdir(exist_ok=True)
             under_test = Node(read_config({"EDGE_CONFIG": str(path), "EDGE_STATE": str(folder / "state")}))
             await under_test.start()
@@ -298,9 +301,13 @@
     run(test)
 
 
-def test_a_drain_that_is_heard_moves_new_messages_to_another_target(tmp_path: Path) -> None:
+@pytest.mark.parametrize("discovery", ["ask", "push"])  # pushed: the module asks for nothing, yet it is told
+def test_a_drain_that_is_heard_moves_new_messages_to_another_target(tmp_path: Path, discovery: str) -> None:
     async def test() -> None:
-        async with Peer(accept) as other, node(tmp_path, accept) as (port, target, platform, _):
+        async with (
+            Peer(accept) as other,
+            node(tmp_path, accept, discovery=discovery) as (port, target, platform, _),
+        ):
             await platform_watched(platform)
             platform.change([member(target.address, phase="DRAINING"), member(other.address, "s-2")])
             await platform_watched(platform)  # the next call of the watch says that the change was heard
