Try what fails at once at once, and what returns by its known limit and at the end of waits

Seen, in traces of calls by destination beside the module's state: with 78% errors each forwarder tried once a second, since a failed trial began the cold gap anew (_hold, _next_cold); the gap went by our demand of the last 10 s and not by what the destination is listed for; after a told wait of 12 s trials came 3.5 to 5.5 s late, by a jitter of 30% of the wait and a whole gap behind it (_learn, _next_cold). Ruled out: slots (3 to 14 of 14 free), the pace (never the least), the half that unwell routes share (pairs with and without: no difference). Change: an error draws the next trial at once and a spare call behind it; the cold rate goes by demand or the known limit; the jitter is 0.6 s at most and few forwarders try at a wait's end; what was held after errors comes back as cold. Trials take no token of the pace.

--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -129,7 +129,7 @@
         self.judged = False
         endpoint.route.calls[self] = None
         endpoint.route.pool.leases += 1
-        endpoint.route.bucket.tokens -= 1
+        endpoint.route.bucket.tokens -= not trial
         endpoint.route.unheard = min(endpoint.route.unheard, now)
         endpoint.route.trial_out = trial
         endpoint.calls += 1
@@ -160,6 +160,8 @@
         self.blocked_until = -math.inf
         self.unheard = math.inf  # since when it has been called and has served nothing; inf: it serves
         self.held = self.unwell = self.trial_out = self.probed = False
+        self.sign = ""  # what it is held after: the name of a result, "silence" or "probe"
+        self.spare = False  # a call may go beside the cold rate: the one before it fell to the outage
         self.next_trial = 0.0  # of a held or returning route
         self.ramp_until = -math.inf  # cold till then
         self.left = 1.0  # share of the limit that was left when last told
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -38,6 +38,7 @@
 RETRY_PAUSE = 0.05  # seconds; doubled by each attempt where others crowd in as well
 STOP_ROOM = 3.0  # usual latencies that a call is given to end before the forwarder does
 LASTS = 1 / 3  # of its age an outage is expected to last on; all of it refuses too much of what comes in time
+QUICK = ("", "full", "error", "reset")  # signs of trouble that cost a call next to no time
 STALL, NOTES = 0.2, 60  # a timer so late says that we stood still ourselves; log lines in one life
 
 
@@ -278,7 +279,8 @@
             self.free, self.stuck = self.free - 1, self.stuck + best.route.unwell
             pool.stuck += best.route.unwell
             if self.now < best.route.ramp_until:
-                best.route.next_trial = self._next_cold(best.route)
+                best.route.next_trial = self.now if best.route.spare else self._next_cold(best.route)
+                best.route.spare = False
         self.actions.append(api.Send(message.ref, target, self._timeout(message, best.route)))
         self.calls[message.ref, message.attempts] = call
         call.add(message)
@@ -335,20 +337,38 @@
         over all forwarders these parts sum to the whole demand, however unevenly they carry it."""
         return route.pool.demand.at(self.now, MEMORY) / max(1, len(route.pool.routes))
 
-    def _next_cold(self, route: Route) -> float:
-        """Many forwarders, each with a floor, or freed by one told wait, would push a cold route over: the
-        gap to our next call goes by our part of its load, random if rare, and begins when a wait ends."""
+    def _cold_rate(self, route: Route) -> float:
+        """Our calls a second to a route that may be cold, by our part of what all of us may send there.
+
+        Many forwarders, each with a floor, or freed by one told wait, would push it over.
+        """
         rules, left = self.rules, max(route.ramp_until - self.now, 0.0) if not route.held else math.inf
         share = 1 - (1 - rules.cold_from) * min(1.0, left / max(rules.cold, 1e-9))
+        most, together = self._part(route), max((e.per_call for e in route.endpoints), default=1)
+        if route.sign in QUICK:  # it takes what it is known for; but a trial that hangs costs messages dear
+            most = max(most, route.limit / self.settings.forwarders / together)
         least = LEAST_TRIALS / rules.tip_after / self.settings.forwarders
-        rate = max(BUDGET * rules.fall_multiple * share * self._part(route), least)
-        gap = 1 / rate if rate * rules.tip_after > 1 else self.random.expovariate(rate)
-        return max(self.now, route.blocked_until) + gap
+        return max(BUDGET * rules.fall_multiple * share * most, least)
+
+    def _next_cold(self, route: Route) -> float:
+        """When our next call to it may go: random if rare.
+
+        At the end of a told wait there is room, but all who were told come then: as many as may always try
+        go at once, of more each somewhere within its gap.
+        """
+        rate = self._cold_rate(route)
+        often = rate * self.rules.tip_after > 1
+        gap = 1 / rate if often else self.random.expovariate(rate)
+        if route.blocked_until <= self.now:
+            return self.now + gap
+        gap *= max(0.0, 1 - LEAST_TRIALS / self.settings.forwarders)
+        return route.blocked_until + gap * (self.random.random() if often else 1.0)
 
     def _hold(self, route: Route, why: str) -> None:
         if not route.held:
             self._note(route, f"held after {why}")
         route.held, route.probed, route.ramp_until = True, False, -math.inf
+        route.sign = why
         route.next_trial = self._next_cold(route)
 
     def _silent_at(self, route: Route) -> float:
@@ -403,10 +423,10 @@
         self._wake_line(message.key)
         if event.closed or message.ref not in self.open:
             return self._close(message.ref)
-        if result in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT):  # it never ran
-            pause = RETRY_PAUSE * 2 ** min(message.attempts, 5) if result is Result.FULL else RETRY_PAUSE
+        pause = RETRY_PAUSE * (2 ** min(message.attempts, 5) if result in (Result.FULL, Result.ERROR) else 1)
+        if result in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.ERROR):
             message.not_before = self.now + pause * self.random.uniform(0.5, 1.5)
-        else:
+        if result not in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT):  # else it never ran
             message.doubts.append((call.sent, endpoint.entry.target, endpoint.entry.zone))
         route.pool.waiting[message.ref] = message
         if not self._has_way(message):
@@ -434,7 +454,7 @@
         route.trial_out = route.trial_out and not call.trial
         route.report(self.settings.report_fields, event.report)
         if event.hold > 0:  # told to wait: nothing goes there, whatever the message
-            jitter = self.settings.round + event.hold * self.random.uniform(0.0, 0.3)  # others were told too
+            jitter = self.settings.round + min(event.hold, GAP) * self.random.uniform(0.0, 0.3)  # others too
             route.blocked_until = max(route.blocked_until, now + event.hold + jitter)
         self.crowd += 0.05 * ((result is Result.FULL) - self.crowd)
         self.room = max(0.0, 1 - CROWDED * self.crowd)
@@ -463,9 +483,15 @@
         # are rare. To try once more at once is safe: what pushes over is a late crowd.
         route.fails, route.failing = route.fails + 1, route.failing if route.fails else now
         many = 3 if result in (Result.FULL, Result.ERROR, Result.RESET) else 1 + (pool.samples < KNOWN)
+        many -= result is Result.ERROR and now < route.ramp_until
         lasting = route.fails >= many and (result is not Result.FULL or now - route.failing > GAP)
         if event.hold > GAP or lasting or call.trial:
             self._hold(route, result.name.lower())
+        if result is Result.ERROR and (route.held or now < route.ramp_until):
+            # The outage goes on: what went so far weighs nothing on what will return. The next call may go at
+            # once, and one behind it: where only most calls fail, one that does not is no return yet.
+            route.next_trial = now + RETRY_PAUSE * self.random.uniform(0.5, 1.5)
+            route.spare = self._cold_rate(route) * self.rules.tip_after > 1
 
     def _success(self, route: Route, elapsed: float) -> None:
         now, pool = self.now, route.pool
@@ -485,12 +511,15 @@
 
     def _release(self, route: Route) -> None:
         """It shows life. Long enough without for an outage to have come and gone: it may be cold."""
-        if (route.held or route.fails) and self.now - max(route.last_ok, route.ramp_until) > GAP:
-            route.ramp_until = self.now + self.rules.cold
-            route.next_trial = self._next_cold(route)
+        back = (route.held or route.fails) and self.now - max(route.last_ok, route.ramp_until) > GAP
+        # Where most calls fail and not all, that it served a moment ago does not say that it is warm.
+        back = back or (route.held and route.sign == "error")
         if route.held:
             self._note(route, "answers again")
-        route.held = route.probed = False
+        spare, route.held, route.probed, route.sign, route.spare = route.spare, False, False, "", False
+        if back:
+            route.ramp_until = self.now + self.rules.cold
+            route.next_trial = self.now if spare else self._next_cold(route)
 
     def _directory(self, event: api.DirectoryUpdate) -> None:
         self.blind = event.overdue
--- /dev/null
+++ b/tests/core/test_return.py
@@ -0,0 +1,123 @@
+"""What may be cold is tried as fast as the rules let: by what it is known to take, at once after an error."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+import pytest
+
+from emberlatch import Forwarder
+from emberlatch.core import interface as api
+from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Result
+from tests.core.test_release import arrive, module, serving
+
+Fate = Callable[[float], api.Result]
+
+
+class Drive:
+    """A forwarder in time: a message comes four times a second, and each call is answered after 10 ms."""
+
+    def __init__(self, made: Forwarder, now: float) -> None:
+        self.made, self.now, self.coming = made, now, now
+        self.refs = itertools.count(10_000)
+        self.out: list[tuple[float, api.Event]] = []
+
+    def run(self, end: float, fate: Fate) -> list[float]:
+        """When calls went out until then; `fate` says how one ends that goes out at a time."""
+        sent: list[float] = []
+        while (now := max(self.now, min([self.coming, self.made.timer, *(at for at, _ in self.out)]))) < end:
+            self.now = now
+            events = [event for at, event in self.out if at <= now]
+            self.out = [item for item in self.out if item[0] > now]
+            if self.coming <= now:
+                self.coming += 0.25
+                events.append(arrive(next(self.refs), 12.0))
+            for action in self.made.handle(now, [api.TimerFired(0), *events]):
+                if isinstance(action, api.Send):
+                    sent.append(now)
+                    result, attempt = fate(now), self.made.open[action.ref].attempts - 1
+                    over = result is Result.OK
+                    done = api.Outcome(action.ref, attempt, action.target, result, 0.01, closed=over)
+                    self.out.append((now + 0.01, done))
+        return sent
+
+
+def rated(weight: float) -> Forwarder:
+    """A destination listed with a rough rate, all of whose calls have been served so far."""
+    made = module(weights=api.Weights.ROUGH, max_attempts=100)
+    made.handle(0.0, [DirectoryUpdate(ListKind.FULL, 2, (Entry(b"t", 7, weight=weight),))])
+    serving(made)
+    return made
+
+
+def failed(made: Forwarder, result: api.Result) -> Drive:
+    """Three seconds in which every call ends so."""
+    drive = Drive(made, 2.1)
+    drive.run(5.1, lambda _: result)
+    assert made.endpoints[b"t"].route.held
+    return drive
+
+
+def test_errors_are_tried_again_at_once_for_they_weigh_nothing_on_what_returns() -> None:
+    assert len(failed(rated(5.0), Result.ERROR).run(8.1, lambda _: Result.ERROR)) >= 20
+    # Of calls that were cut it is not known whether they weigh.
+    assert len(failed(rated(5.0), Result.RESET).run(8.1, lambda _: Result.RESET)) <= 8
+
+
+def test_after_errors_a_destination_that_answers_again_is_not_pushed_over() -> None:
+    made = rated(5.0)
+    rules = made.settings.rules
+    sent = failed(made, Result.ERROR).run(5.1 + rules.tip_after, lambda _: Result.OK)
+    # What is listed at 5 is trusted for 3.5, and it returns with a part of that.
+    assert 2 <= len(sent) <= rules.fall_multiple * rules.cold_from * 5.0 * rules.tip_after
+
+
+def test_a_lucky_success_among_errors_does_not_stop_the_trials_and_two_do() -> None:
+    def sent_after(lucky: int) -> int:
+        left = [lucky]
+
+        def fate(now: float) -> api.Result:
+            left[0] -= 1
+            return Result.OK if left[0] >= 0 else Result.ERROR
+
+        return len(failed(rated(5.0), Result.ERROR).run(5.6, fate))
+
+    assert sent_after(1) >= 5
+    assert sent_after(2) <= 3
+
+
+def test_a_success_among_errors_says_nothing_of_warmth() -> None:
+    """Some calls had always been served, so a moment ago one was: yet it comes back as cold as any."""
+    made = rated(5.0)
+    drive = Drive(made, 2.1)
+    drive.run(9.0, lambda now: Result.OK if now % 1.0 < 0.25 else Result.ERROR)
+    drive.run(9.3, lambda _: Result.ERROR)
+    drive.run(9.8, lambda _: Result.OK)
+    assert made.endpoints[b"t"].route.ramp_until > 20.0
+
+
+@pytest.mark.parametrize("mute", [False, True])
+def test_a_cold_destination_gets_its_part_of_what_it_is_known_to_take(mute: bool) -> None:
+    """Little was asked of it of late, much waits now. While it hangs that counts for nothing."""
+    made = rated(20.0)
+    failed(made, Result.TIMEOUT if mute else Result.FULL)
+    route = made.endpoints[b"t"].route
+    own = made.rules.fall_multiple * made.rules.cold_from * made._part(route)
+    known = made.rules.fall_multiple * made.rules.cold_from * 20.0 / made.settings.forwarders
+    rate = made._cold_rate(route)
+    assert rate <= own if mute else own < rate < known
+
+
+@pytest.mark.parametrize(("forwarders", "at_once"), [(2, True), (60, False)])
+def test_after_a_told_wait_few_forwarders_try_at_its_end(forwarders: int, at_once: bool) -> None:
+    firsts = []
+    for seed in range(20):
+        made = module(forwarders=forwarders)
+        made.random.seed(seed)
+        serving(made)
+        made.handle(2.1, [arrive(1, 12.0)])
+        made.handle(2.2, [api.Outcome(1, 0, b"t", Result.FULL, 0.1, hold=8.0)])
+        firsts.append(Drive(made, 2.3).run(14.0, lambda _: Result.OK)[0] - 10.2)
+    assert min(firsts) >= 0
+    assert (max(firsts) < 0.7) is at_once
