Fault runs where lists are pushed: what an agent has counts as told at once

Change: a plan can say that lists are pushed; the settings, the grace (0.25 s) and the check go by it; a third draw of plans, a planted bug, 60 seeds among the tests.

--- a/emberlatch/faults/__init__.py
+++ b/emberlatch/faults/__init__.py
@@ -1,7 +1,7 @@
 """Seeded fault runs: the forwarder's real code on a virtual clock, network and disk, held to the rules."""
 
 from emberlatch.faults.checks import Breach
-from emberlatch.faults.plan import DRAWS, Fault, Plan, PlanError, draw, parse, release
+from emberlatch.faults.plan import DRAWS, Fault, Plan, PlanError, draw, parse, pushed, release
 from emberlatch.faults.run import Report, Verdict, digest, judge, play, shrink, sweep
 
 __all__ = [
@@ -17,6 +17,7 @@
     "judge",
     "parse",
     "play",
+    "pushed",
     "release",
     "shrink",
     "sweep",
--- a/emberlatch/faults/checks.py
+++ b/emberlatch/faults/checks.py
@@ -46,6 +46,7 @@
     wings: dict[str, str]
     latency: float = 0.005  # that a packet takes at most
     ask_every: float = math.inf  # without a call for so long, what was listed that long ago counts as told
+    pushed: bool = False  # what is listed has been sent to the agent beside each, and counts as told at once
 
 
 @dataclass(slots=True)
@@ -325,6 +326,8 @@
     def _counts_as_told(self, who: str, endpoint: str) -> float:
         """When a forwarder counts as told that an endpoint serves no more, whether or not it has heard."""
         since = self._shut.get(endpoint)
+        if self.figures.pushed and since is not None:
+            return max(since, self._ready.get(who, math.inf))
         if since is None or who not in self._asked:
             return math.inf
         due = [told for until, told in self._unheard.get(who, ()) if since <= until]
--- a/emberlatch/faults/plan.py
+++ b/emberlatch/faults/plan.py
@@ -1,7 +1,8 @@
 """What befalls a universe: drawn from a seed, and written as text that can be edited and kept.
 
-A plan is lines of words. `seed`, `seconds`, `rate` and `forwarders` say how large it is; each line `fault
-FROM UNTIL WHAT WHOM [WITH]` is one fault, its times in seconds from the start (`-` where it has no end).
+A plan is lines of words. `seed`, `seconds`, `rate` and `forwarders` say how large it is, `pushed 1` that
+lists are pushed to an agent beside each forwarder; each line `fault FROM UNTIL WHAT WHOM [WITH]` is one
+fault, its times in seconds from the start (`-` where it has no end).
 """
 
 from __future__ import annotations
@@ -63,11 +64,12 @@
     seconds: float = SECONDS
     rate: float = 4.0  # messages a second to each forwarder
     forwarders: int = 1
+    pushed: bool = False  # lists: what the directory has counts as told at once; else they are asked for
 
     def __str__(self) -> str:
         head = (
             f"seed {self.seed}\nseconds {self.seconds:g}\nrate {self.rate:g}\nforwarders {self.forwarders}\n"
-        )
+        ) + "pushed 1\n" * self.pushed
         return head + "".join(f"{fault}\n" for fault in self.faults)
 
     @property
@@ -92,17 +94,19 @@
         try:
             if words[0] == "fault":
                 faults.append(_fault(words[1:]))
-            elif words[0] in ("seed", "seconds", "rate", "forwarders") and len(words) == 2:
+            elif words[0] in ("seed", "seconds", "rate", "forwarders", "pushed") and len(words) == 2:
                 values[words[0]] = float(words[1])
             else:
-                raise ValueError("a line is seed, seconds, rate or forwarders and a number, or a fault")
+                raise ValueError(
+                    "a line is seed, seconds, rate, forwarders or pushed and a number, or a fault"
+                )
         except ValueError as error:
             raise PlanError(f"line {number}: {error}") from error
     if "seed" not in values:
         raise PlanError("no line names the seed")
     plan = Plan(int(values.pop("seed")), tuple(faults))
-    forwarders = int(values.pop("forwarders", 1))
-    return replace(plan, forwarders=forwarders, **values)  # type: ignore[arg-type]
+    forwarders, pushed = int(values.pop("forwarders", 1)), bool(values.pop("pushed", 0))
+    return replace(plan, forwarders=forwarders, pushed=pushed, **values)  # type: ignore[arg-type]
 
 
 def _fault(words: list[str]) -> Fault:
@@ -139,13 +143,9 @@
     """
     chance = random.Random(f"release {seed}")
     forwarders = (1, 3, 10)[seed % 3]
-    faults = []
+    faults: list[Fault] = []
     begins = chance.uniform(2.0, 5.0)
-    for endpoint in chance.sample(ENDPOINTS, chance.randint(3, len(ENDPOINTS))):
-        since = begins + chance.uniform(0.0, 6.0)
-        what = chance.choice(("drain", "drain", "replace"))
-        until = since + chance.uniform(2.0, 24.0) if what == "drain" else None
-        faults.append(Fault(round(since, 3), until and round(until, 3), what, endpoint))
+    faults += _released(chance, begins)
     for _ in range(chance.randint(1, 2)):
         since = chance.uniform(0.5, begins + 3.0)
         until = chance.uniform(since + 2.0, CALM_FROM)
@@ -163,12 +163,46 @@
     return Plan(seed, tuple(sorted(faults, key=lambda f: (f.since, f.what, f.whom))), 34.0, rate, forwarders)
 
 
-DRAWS = {"mixed": draw, "release": release}
+def pushed(seed: int) -> Plan:
+    """A release of endpoints where lists are pushed, while endpoints fail and forwarders stop and start."""
+    chance = random.Random(f"pushed {seed}")
+    forwarders = chance.choice((1, 2, 3))
+    faults = _released(chance, chance.uniform(1.0, 4.0))
+    for _ in range(chance.randint(1, 3)):
+        since = chance.uniform(1.0, CALM_FROM - 2)
+        until = chance.uniform(since + 0.5, CALM_FROM)
+        faults.append(_drawn(chance, since, until, forwarders, (OF_ENDPOINTS, OF_PROCESS), (3, 2)))
+    faults.sort(key=lambda f: (f.since, f.what, f.whom))
+    return Plan(seed, tuple(faults), 34.0, 6.0 / forwarders, forwarders, pushed=True)
+
+
+def _released(chance: random.Random, begins: float) -> list[Fault]:
+    """Endpoints that are drained or replaced within six seconds."""
+    faults = []
+    for endpoint in chance.sample(ENDPOINTS, chance.randint(3, len(ENDPOINTS))):
+        since = begins + chance.uniform(0.0, 6.0)
+        what = chance.choice(("drain", "drain", "replace"))
+        until = since + chance.uniform(2.0, 24.0) if what == "drain" else None
+        faults.append(Fault(round(since, 3), until and round(until, 3), what, endpoint))
+    return faults
+
+
+DRAWS = {"mixed": draw, "release": release, "pushed": pushed}
 """The ways to draw a plan from a seed, by name."""
 
 
-def _drawn(chance: random.Random, since: float, until: float, forwarders: int) -> Fault:
-    family = chance.choices((OF_ENDPOINTS, OF_DIRECTORY, OF_DISK, OF_PROCESS, OF_LIST), (10, 3, 1, 5, 4))[0]
+FAMILIES = (OF_ENDPOINTS, OF_DIRECTORY, OF_DISK, OF_PROCESS, OF_LIST)
+
+
+def _drawn(
+    chance: random.Random,
+    since: float,
+    until: float,
+    forwarders: int,
+    families: tuple[tuple[str, ...], ...] = FAMILIES,
+    weights: tuple[int, ...] = (10, 3, 1, 5, 4),
+) -> Fault:
+    family = chance.choices(families, weights)[0]
     what = chance.choice(family)
     whom, how = "all", ""
     if family is OF_ENDPOINTS:
--- a/emberlatch/faults/world.py
+++ b/emberlatch/faults/world.py
@@ -106,7 +106,7 @@
     },
     "tenants": [{"name": "acme", "allowance-per-s": 10.0}],
 }
-DECODED = wire.decode_settings(json.dumps(SETTINGS).encode())
+PUSHED = SETTINGS | {"discovery": "push", "rules": SETTINGS["rules"] | {"drain-grace": 0.25}}
 BEHAVIOURS = {
     "p1": Behaviour(work=0.08, workers=1, queue=12, limit=9.0, wait=0.4, window=WINDOW, cold=8.0),
     "p2": Behaviour(work=0.10, workers=1, queue=3, window=WINDOW, cold=8.0),
@@ -207,8 +207,8 @@
             most_calls=100,
             journal_bytes=int(DISK_MB * 1e6),
             known=known,
-            raw_settings=SETTINGS,
-            settings=DECODED,
+            raw_settings=world.raw_settings,
+            settings=world.settings,
         )
         machine = Machine(
             lambda: 1.8e9 + world.loop.time() + self.offset,
@@ -290,6 +290,8 @@
     def __init__(self, plan: Plan, loop: Any, network: Any = None) -> None:
         """On the virtual network of a virtual loop, or on another (`loopback`)."""
         self.plan, self.loop = plan, loop
+        self.raw_settings = PUSHED if plan.pushed else SETTINGS
+        self.settings = wire.decode_settings(json.dumps(self.raw_settings).encode())
         self.network = network if network is not None else Network(loop, plan.seed)
         self.random = random.Random(f"world {plan.seed}")
         self.began = loop.time()
@@ -298,7 +300,13 @@
         names = [*ENDPOINTS, *(f"{name}.2" for name in ENDPOINTS)]
         wings = {name: name.partition("-")[2].partition(".")[0] for name in names}
         figures = Figures(
-            SLOTS, DECODED.rules.drain_grace, KINDS, {"keyed": WINDOW}, wings, ask_every=ASK_EVERY
+            SLOTS,
+            self.settings.rules.drain_grace,
+            KINDS,
+            {"keyed": WINDOW},
+            wings,
+            ask_every=ASK_EVERY,
+            pushed=plan.pushed,
         )
         self.checks = Checks(figures)
         self.endpoints: dict[str, Endpoint] = {}
--- a/tests/faults/mutations.py
+++ b/tests/faults/mutations.py
@@ -430,3 +430,15 @@
         return act
 
     return _client("act", change)
+
+
+@planted
+def pushed_lists_are_not_asked_for() -> Any:
+    """As long as the module asked for no list, none was heard."""
+    real = Directory.start
+
+    def start(self: Directory) -> None:
+        self._pushed = False
+        real(self)
+
+    return patch.object(Directory, "start", start)
--- a/tests/faults/test_seeds.py
+++ b/tests/faults/test_seeds.py
@@ -11,7 +11,7 @@
 from click.testing import CliRunner
 
 from emberlatch.cli import main
-from emberlatch.faults import DRAWS, Fault, Plan, digest, draw, parse, play, release, shrink
+from emberlatch.faults import DRAWS, Fault, Plan, digest, draw, parse, play, pushed, release, shrink
 from tests.faults.mutations import MUTATIONS
 from tests.peers import ROOT
 
@@ -36,6 +36,14 @@
         assert report.messages > 100
 
 
+@pytest.mark.parametrize("chunk", range(6))
+def test_fixed_releases_by_pushed_lists_break_nothing(chunk: int) -> None:
+    for seed in range(chunk, 60, 6):
+        report = play(pushed(seed))
+        assert not report.breaches, f"pushed {seed}: {report.breaches[0]}"
+        assert report.messages > 80
+
+
 @pytest.mark.parametrize("path", PLANS, ids=lambda path: path.stem)
 def test_kept_plans_break_nothing(path: Path) -> None:
     report = play(parse(path.read_text()))
@@ -108,6 +116,7 @@
     "last_member_of_a_change_is_dropped": "release:0",
     "watch_rests_for_long": "release:0",
     "call_that_was_given_up_blocks_the_next": "release:47",
+    "pushed_lists_are_not_asked_for": "pushed:0",
 }
 """Each planted bug and the seed (of a draw), or the kept plan, that catches it."""
 
