Only a route that serves nothing is tried at the very end of a told wait

Cause: _next_cold left the gap out after any told wait of a cold route; a returning route that is refused above its limit is told waits of some hundred milliseconds, and came at the end of each. Change: the gap is left out for held routes only.

--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -351,18 +351,19 @@
         return max(BUDGET * rules.fall_multiple * share * most, least)
 
     def _next_cold(self, route: Route) -> float:
-        """When our next call to it may go: random if rare.
+        """When our next call to it may go: random if rare, and the gap begins when a wait ends.
 
-        At the end of a told wait there is room, but all who were told come then: as many as may always try
-        go at once, of more each somewhere within its gap.
+        Where nothing is served a told wait says when that ends, and all who were told come then: as many as
+        may always try go at once, of more each somewhere within its gap. Where calls are served it tells of a
+        limit, and who came at its end each time would only be refused more.
         """
         rate = self._cold_rate(route)
         often = rate * self.rules.tip_after > 1
         gap = 1 / rate if often else self.random.expovariate(rate)
-        if route.blocked_until <= self.now:
-            return self.now + gap
-        gap *= max(0.0, 1 - LEAST_TRIALS / self.settings.forwarders)
-        return route.blocked_until + gap * (self.random.random() if often else 1.0)
+        if route.held and route.blocked_until > self.now:
+            gap *= max(0.0, 1 - LEAST_TRIALS / self.settings.forwarders)
+            gap *= self.random.random() if often else 1.0
+        return max(self.now, route.blocked_until) + gap
 
     def _hold(self, route: Route, why: str) -> None:
         if not route.held:
--- a/tests/core/test_return.py
+++ b/tests/core/test_return.py
@@ -121,3 +121,15 @@
         firsts.append(Drive(made, 2.3).run(14.0, lambda _: Result.OK)[0] - 10.2)
     assert min(firsts) >= 0
     assert (max(firsts) < 0.7) is at_once
+
+
+def test_after_a_short_wait_of_a_route_that_serves_its_gap_is_kept() -> None:
+    """Such a wait tells of a limit: coming at its end each time cost ra1e1c0 0.07 of its score."""
+    for seed in range(10):
+        made = module()
+        made.random.seed(seed)
+        serving(made)
+        route = made.endpoints[b"t"].route
+        route.ramp_until, route.blocked_until = 15.0, 2.5
+        made.now = 2.1
+        assert made._next_cold(route) > 2.5 + 0.2
