The message whose time ends last leads its batch: a hung endpoint lost the others

No answer to a batch took longer than 1.5 s otherwise. Engine._turn put the messages into a call in the order of what is at stake, so the nearest to its end came first. Ruled out by probes: a notice for the first or the last of a batch 10 ms (45 times) or 0.7 s after it went out loses none; nor does the end of one within a call that is being served (calls held back until 30 ms before that). No answer of another call was taken for it, no answer was short of a line, every notice was confirmed. Change: within a call the message whose time ends last comes first, so that its end is that of the call. A test on sockets; it fails without.

--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -284,7 +284,7 @@
         for target, items in calls.items():
             most = self._per_call(target)
             for first in range(0, len(items), most):
-                self._carrier.call(target, items[first : first + most])
+                self._carrier.call(target, self._longest_first(items[first : first + most]))
 
     def _admit(self, arriving: dict[int, tuple[Entry, Answer]], actions: list[api.Action]) -> None:
         """Answer the new messages: refused ones are never owed, the others are journalled first."""
@@ -356,6 +356,14 @@
         kind = listed.kind if listed is not None else len(self._settings.per_call)
         return max(self._settings.per_call[kind : kind + 1], default=1)
 
+    def _longest_first(self, items: list[Item]) -> list[Item]:
+        """The messages of one call, the one whose time ends last in front.
+
+        A hung endpoint was seen to answer `ok` for a whole batch once its first message was over, though none
+        had been delivered. When the last to end is over the call has nobody left who could believe that.
+        """
+        return sorted(items, key=lambda item: -self._held[item.ref].deadline)
+
     def _finish(self, ref: int, notice: Notice) -> None:
         entry = self._held.get(ref)
         if entry is None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -181,11 +181,12 @@
     run(test)
 
 
-async def pipeline(port: int, names: list[str], size: int) -> list[str]:
+async def pipeline(port: int, names: list[str], size: int, **timeouts: str) -> list[str]:
     """Several messages in one write; the statuses of their answers."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     for name in names:
-        head = "".join(f"{key}: {value}\r\n" for key, value in message_headers(name).items())
+        headers = message_headers(name, X_Timeout_Ms=timeouts.get(name, "24000"))
+        head = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
         writer.write(f"POST /api HTTP/1.1\r\n{head}Content-Length: {size}\r\n\r\n".encode() + bytes(size))
     statuses = [(await read_message(reader))[0].split()[1] for _ in names]
     writer.close()
@@ -261,6 +262,28 @@
     run(test)
 
 
+def test_the_first_of_a_batch_is_the_one_whose_time_ends_last(tmp_path: Path) -> None:
+    """A hung partner that answers a batch once its first message is over must find all of it over."""
+
+    async def test() -> None:
+        async with node(tmp_path, accept, flavor="wallet-operator") as (port, target, _, under_test):
+            assert await hand_in(port, "m0") == 202
+            await target.next()
+            while under_test.engine._held:
+                await asyncio.sleep(0.01)
+            timeouts = {"a": "4000", "b": "9000", "c": "2000", "d": "6000"}
+            assert await pipeline(port, list(timeouts), 1, **timeouts) == ["202"] * 4
+            batch = await target.next()
+            assert [line.split()[0] for line in batch.body.split(b"\r\n")[::2] if line] == [
+                b"b",
+                b"d",
+                b"a",
+                b"c",
+            ]
+
+    run(test)
+
+
 def test_a_refusal_in_the_same_turn_is_429_and_never_owed(tmp_path: Path) -> None:
     async def test() -> None:
         async with node(tmp_path, silence) as (port, _, platform, _):
