--- a/emberlatch/cli/tables.py
+++ b/emberlatch/cli/tables.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Any
 
+from rich.box import SIMPLE_HEAD
 from rich.console import Console
 from rich.table import Table
 
@@ -11,6 +13,7 @@
 from emberlatch.inventory import Inventory, cells
 
 PARTS = ("before", "during", "after")
+NOTHING = {"sent": 0, "service": 1.0, "late": 0, "refused": {}, "failed": 0, "median": 0.0}
 
 
 def show_inventory(inventory: Inventory) -> None:
@@ -48,6 +51,14 @@
     console.print(table)
 
 
+def _narrow(*columns: str, title: str = "") -> Table:
+    """A table that fits on 80 columns with nothing cut: names to the left, numbers to the right."""
+    table = Table(box=SIMPLE_HEAD, pad_edge=False, title=title or None)
+    for column in columns:
+        table.add_column(column, justify="left" if column in ("partner", "part") else "right", no_wrap=True)
+    return table
+
+
 def progress_table(progress: Progress) -> Table:
     """The live table of a demonstration."""
     title = {
@@ -55,40 +66,46 @@
         "during": f"{progress.account.broken} hangs",
         "after": f"{progress.account.broken} is back, cold",
     }[progress.part]
-    table = Table(title=f"{min(progress.elapsed, progress.total):4.0f} of {progress.total:.0f} s: {title}")
-    for column in ("partner", "sent", "in time", "late", "refused", "failed", "median", "leases", "routes"):
-        table.add_column(column, justify="left" if column in ("partner", "routes") else "right")
+    title = f"{min(progress.elapsed, progress.total):4.0f} of {progress.total:.0f} s: {title}"
+    table = _narrow("partner", "sent", "in time", "refused", "median", "leases", title=title)
+    table.add_column("routes")
     pools = {pool["partner"]: pool for pool in progress.status.get("pools", ())}
     for name, parts in progress.account.tallies.items():
         tally = parts.get(progress.part)
         pool = pools.get(name, {"leases": 0, "routes": []})
         if tally is None:
             continue
+        states = Counter(route["state"] for route in pool["routes"])
         table.add_row(
             name,
             str(tally.sent),
-            f"{tally.service:.1%}",
-            str(tally.late),
+            f"{tally.service:.0%}",
             str(tally.refused),
-            str(tally.failed),
             f"{tally.median * 1000:.0f} ms",
             str(pool["leases"]),
-            ", ".join(route["state"] for route in pool["routes"]),
+            ", ".join(f"{count} {state}" for state, count in states.items()),
         )
     return table
 
 
 def show_summary(summary: Summary) -> None:
-    """What a demonstration has shown."""
+    """What a demonstration has shown: a row for each partner and part, then why messages were refused."""
     console = Console()
-    table = Table("partner", *(f"{p}: {what}" for p in PARTS for what in ("sent", "in time", "median")))
+    table = _narrow("partner", "part", "sent", "in time", "late", "refused", "failed", "median")
     for name, parts in summary.partners.items():
-        row = [name]
         for part in PARTS:
-            tally = parts.get(part, {"sent": 0, "service": 1.0, "median": 0.0})
-            row += [str(tally["sent"]), f"{tally['service']:.1%}", f"{tally['median'] * 1000:.0f} ms"]
-        table.add_row(*row)
+            tally = parts.get(part, NOTHING)
+            counts = [str(tally["sent"]), f"{tally['service']:.0%}", str(tally["late"])]
+            counts += [str(sum(tally["refused"].values())), str(tally["failed"])]
+            table.add_row(
+                name, part, *counts, f"{tally['median'] * 1000:.0f} ms", end_section=part == PARTS[-1]
+            )
+            name = ""
     console.print(table)
+    for name, parts in summary.partners.items():
+        reasons = sum((Counter(tally["refused"]) for tally in parts.values()), Counter[str]())
+        for why, count in reasons.most_common():
+            console.print(f"{name}: {count} refused, {why}")
     console.print(
         f"While {summary.broken} hung, the others had {summary.others_during:.1%} of their messages in time, "
         f"after {summary.others_before:.1%} before. "
--- a/emberlatch/demo/account.py
+++ b/emberlatch/demo/account.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import asdict, dataclass, field
 from typing import Any
@@ -16,10 +17,15 @@
     sent: int = 0
     in_time: int = 0
     late: int = 0
-    refused: int = 0
+    refusals: Counter[str] = field(default_factory=Counter)  # why -> how often
     failed: int = 0
     latencies: list[float] = field(default_factory=list)
 
+    @property
+    def refused(self) -> int:
+        """Turned away, for whatever reason."""
+        return self.refusals.total()
+
     @property
     def service(self) -> float:
         """The share that was delivered within its aim."""
@@ -74,8 +80,8 @@
         self._open[message] = partner, part, at
         self.tallies[partner].setdefault(part, Tally()).sent += 1
 
-    def ended(self, message: str, state: str, at: float) -> None:
-        """A message has its answer."""
+    def ended(self, message: str, state: str, at: float, why: str = "") -> None:
+        """A message has its answer; a refusal says why."""
         if message not in self._open:
             self.answered_twice += message in self._ended
             return
@@ -89,7 +95,7 @@
             else:
                 tally.late += 1
         elif state == "refused":
-            tally.refused += 1
+            tally.refusals[why] += 1
         else:
             tally.failed += 1
 
@@ -108,7 +114,7 @@
                     "service": round(tally.service, 4),
                     "median": round(tally.median, 4),
                     "late": tally.late,
-                    "refused": tally.refused,
+                    "refused": dict(tally.refusals),
                     "failed": tally.failed,
                 }
                 for part, tally in parts.items()
--- a/emberlatch/demo/run.py
+++ b/emberlatch/demo/run.py
@@ -23,6 +23,9 @@
 RATE = 60.0  # messages a second, to all partners
 AIM = 4.0  # seconds, of the class that is used
 LAST_ENDS = 25.0  # seconds that the last answers may take: none takes longer than its deadline
+REFUSALS = {429: "turned away at once: no prospect of its turn", 503: "turned away at once: no room"}
+"""Why a message is not taken on, by the status of its answer."""
+LATER = "taken on, and then its turn could not be expected in time"
 LOOK = 0.25  # seconds between looks at the log of ends
 
 PARTNERS: dict[str, dict[str, Any]] = {
@@ -213,7 +216,7 @@
             self._read += len(whole)
             for line in whole.splitlines():
                 end = json.loads(line)
-                self._account.ended(end["id"], end["state"], end["at"])
+                self._account.ended(end["id"], end["state"], end["at"], LATER)
 
     async def _hand_in(self, message: str) -> None:
         names = list(PARTNERS)
@@ -226,8 +229,9 @@
             "Content-Length: 5\r\n\r\nhello"
         )
         status = await self._exchange(head.encode())
-        if status != 202:  # 429, 503: not taken on, which is its answer
-            self._account.ended(message, "refused" if status in (429, 503) else "failed", time.time())
+        if status != 202:  # not taken on, which is its answer
+            state = "refused" if status in REFUSALS else "failed"
+            self._account.ended(message, state, time.time(), REFUSALS.get(status, ""))
 
     async def _exchange(self, request: bytes) -> int:
         try:
--- a/tests/standins/test_partner.py
+++ b/tests/standins/test_partner.py
@@ -152,10 +152,10 @@
         account.ended(f"b{n}", "delivered", 0.5)
     assert not account.summary().contained  # the broken one's have no answer
     for n in range(10):
-        account.ended(f"a{n}", ("delivered", "refused", "failed")[n % 3], 2.0)
+        account.ended(f"a{n}", ("delivered", "refused", "failed")[n % 3], 2.0, "no room")
     assert account.summary().contained
     assert account.summary().partners["a"]["during"] == {
-        "sent": 10, "service": 0.0, "median": 2.0, "late": 4, "refused": 3, "failed": 3,
+        "sent": 10, "service": 0.0, "median": 2.0, "late": 4, "refused": {"no room": 3}, "failed": 3,
     }  # fmt: skip
     account.ended("a1", "delivered", 3.0)
     assert account.summary().answered_twice == 1 and not account.summary().contained
