--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -248,37 +248,14 @@
 
     async def wait_for(self, step: asyncio.Future[Any], written: Callable[[], bool]) -> None:
         """Wait until a step is done; messages whose time is up before have their outcome then."""
-        if step.done() or not self.pending:
-            return
         loop = asyncio.get_running_loop()
-        over = loop.create_future()  # one wake-up, where asyncio.wait takes two and a set of its own
-
-        def wake(_: object = None) -> None:
-            if not over.done():
-                over.set_result(None)
-
-        timer: asyncio.TimerHandle
-
-        def due() -> None:
-            nonlocal timer
-            now, late = loop.time(), Result.TIMEOUT if written() else Result.CONNECT_FAILED
-            try:
-                for item in [item for item, end in self.pending.items() if end <= now and not step.done()]:
+        while self.pending and not step.done():
+            await asyncio.wait({step}, timeout=max(0.0, min(self.pending.values()) - loop.time()))
+            if not step.done():
+                now, late = loop.time(), Result.TIMEOUT if written() else Result.CONNECT_FAILED
+                for item in [item for item, end in self.pending.items() if end <= now]:
                     self.settle(item, late)
                     self.late.append(item)
-            finally:
-                if self.pending:
-                    timer = loop.call_at(min(self.pending.values()), due)
-                else:
-                    wake()
-
-        timer = loop.call_at(min(self.pending.values()), due)
-        step.add_done_callback(wake)
-        try:
-            await over
-        finally:
-            timer.cancel()
-            step.remove_done_callback(wake)
 
     def settle_all(
         self, result: Result, closed: bool = False, hold: float = 0.0, report: tuple[float, ...] = ()
--- a/emberlatch/store/journal.py
+++ b/emberlatch/store/journal.py
@@ -11,7 +11,7 @@
 import logging
 import struct
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from emberlatch.store.files import Files
@@ -20,7 +20,6 @@
 
 log = logging.getLogger(__name__)
 
-_json = json.JSONEncoder(separators=(",", ":")).encode
 _MARK = b"\xe5EL1"
 _HEAD = struct.Struct("<4sII")
 _MAX_RECORD = MAX_BODY + 4096
@@ -66,7 +65,6 @@
         if self._most_live < _MAX_RECORD:
             raise ValueError("too small for the journal")
         self._sizes: dict[int, int] = {}  # segment -> bytes, oldest first
-        self._used = 0  # what they count as on the disk
         self._home: dict[int, int] = {}  # message -> segment that holds its body
         self._entries: dict[int, Entry] = {}
         self.clock: tuple[str, float] | None = None  # a run of the machine, and what its clock is behind
@@ -85,7 +83,6 @@
                 self._files.remove(name)
                 continue
             self._sizes[number] = len(data)
-            self._used += _on_disk(len(data))
             for payload in _records(data, name):
                 try:
                     self._replay(number, payload)
@@ -143,7 +140,7 @@
 
     def _append(self, record: bytes) -> None:
         for _ in range(len(self._sizes)):
-            if self._used + len(record) <= self._most:
+            if sum(map(_on_disk, self._sizes.values())) + len(record) <= self._most:
                 break
             self._compact()
         self._write(record)
@@ -160,9 +157,7 @@
         view = memoryview(record)
         while view:
             written = self._files.write(self._fd, view)
-            before = self._sizes[self._current]
-            self._sizes[self._current] = before + written
-            self._used += _on_disk(before + written) - _on_disk(before)
+            self._sizes[self._current] += written
             view = view[written:]
 
     def _roll(self) -> None:
@@ -184,7 +179,7 @@
             self._write(_whole(self._entries[ref]))
             self._home[ref] = self._current
         self._files.remove(_name(oldest))
-        self._used -= _on_disk(self._sizes.pop(oldest))
+        del self._sizes[oldest]
 
 
 def _name(number: int) -> str:
@@ -204,9 +199,7 @@
     return {
         "ref": entry.ref,
         "attempts": entry.attempts,
-        "doubts": [
-            {"attempt": d.attempt, "target": d.target, "zone": d.zone, "sent": d.sent} for d in entry.doubts
-        ],
+        "doubts": [asdict(doubt) for doubt in entry.doubts],
         "notice": entry.notice,
     }
 
@@ -217,7 +210,7 @@
 
 
 def _record(state: dict[str, Any], body: bytes = b"") -> bytes:
-    payload = _json(state).encode() + b"\n" + body
+    payload = json.dumps(state, separators=(",", ":")).encode() + b"\n" + body
     return _HEAD.pack(_MARK, len(payload), zlib.crc32(payload)) + payload
 
 
