Fault runs: no forwarder may be left behind in calm, however well the others serve

Change: each forwarder must have 0.3 of its own messages in time as well, from ten seconds after the last fault.

--- a/emberlatch/faults/world.py
+++ b/emberlatch/faults/world.py
@@ -52,7 +52,8 @@
 LAST = 14.0  # seconds that the last messages may take
 CALM = 10.0  # seconds after the last fault until service is to be as before: a return is warm by then
 SERVED = 0.7  # share of what can be in time from then on that must be
-TELLING = 16  # messages under which a share tells nothing
+EACH = 0.3  # share of the messages of each forwarder that must be: the others must not hide one that is stuck
+TELLING = 16  # messages under which a share tells nothing; half of it for one forwarder
 
 KINDS = {"note": "safe", "payout": "keyed", "order": "unsafe"}
 WINDOW = 8.0  # seconds, of payouts
@@ -588,3 +589,8 @@
         served, permitted = self.calm
         if permitted >= TELLING and served < SERVED * permitted:
             self.breach("liveness", f"{served} of {permitted} in time when all was calm")
+        since, until = self.plan.ends + CALM, self.plan.seconds - max(AIMS.values())
+        for clients in self.clients:
+            own = [done for _, done in clients.served(since, until, self.checks.messages)]
+            if len(own) >= TELLING // 2 and sum(own) < EACH * len(own):
+                self.breach("liveness", f"{clients.name} served {sum(own)} of {len(own)} when all was calm")
--- a/tests/faults/test_permitted.py
+++ b/tests/faults/test_permitted.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from typing import Any
+from unittest.mock import patch
+
 import pytest
 
-from emberlatch.faults import draw, play
+from emberlatch.faults import Plan, draw, play
+from emberlatch.faults.clients import Clients
 from emberlatch.faults.permitted import Permitted, Wanted
 from emberlatch.standins.behaviour import Behaviour, Condition
 
@@ -76,6 +81,19 @@
     assert made().in_time(patient + hurried, 0.0, 99.0) == 29
 
 
+def test_one_forwarder_that_serves_nothing_is_not_hidden_by_the_others() -> None:
+    """Nine of ten serve: the universe as a whole has more than enough in time."""
+    real = Clients.served
+
+    def served(self: Clients, *span: Any) -> Iterator[tuple[float, bool]]:
+        return ((at, done and self.name != "f3") for at, done in real(self, *span))
+
+    plan = Plan(1, seconds=34.0, rate=1.0, forwarders=10)
+    assert not play(plan).breaches
+    with patch.object(Clients, "served", served):
+        assert [breach.text[:3] for breach in play(plan).breaches] == ["f3 "]
+
+
 def test_no_universe_serves_more_than_was_permitted() -> None:
     for seed in range(6):
         served, permitted = play(draw(seed)).carried
