Ask a shared directory by its round: forty at once filled its queue for good

Traced over the fleet, second by second: 40 watches in one instant, 25 of them fail after their 2 s in the queue and 14 are turned away at once; from then on 80 to 100 asks a second come in, of which 5 to 7 wait their 2 s out in vain. Every list was 30 s old: drained and gone endpoints were called (connect_failed at all destinations), and what was new was unknown. Ruled out: a directory that is down (with asks drawn over 8 s and pauses of 4 to 12 s all 40 hear each change within 0.3 s), the watches' answers (all were read), the connection limit. At fault: Pauses.next (0.15 s first, cut to an eighth of what is due, 0.5 s once overdue) and Client.known (first watch at once) and QUIET (each silent watch asked anew after 5 s), none of which knew how many ask. Change: a round, 0.2 s for each caller beyond three, 8 s at most; the first watch is drawn within it, pauses and patience grow by it. With one to three forwarders, and for agents of pushed lists, nothing changes.

--- a/emberlatch/directory/client.py
+++ b/emberlatch/directory/client.py
@@ -78,11 +78,12 @@
 class Client:
     """See the module. One watch, and at most one look-up beside it, are out at a time."""
 
-    def __init__(self, seed: int, terms: Terms = Terms()) -> None:  # noqa: B008 (frozen)
+    def __init__(self, seed: int, terms: Terms = Terms(), callers: int = 1) -> None:  # noqa: B008 (frozen)
+        """`callers`: how many forwarders, with this one, ask the same service."""
         self.revision: int | None = None
         """The revision of the list that was taken last; None where the whole list is to be asked for."""
         self.ledger = Ledger(terms)
-        self._pauses = Pauses(seed)
+        self._pauses = Pauses(seed, callers)
         self._wanted = self._look = False
         self._rest_until = -math.inf
         self._calls: dict[int, _Call] = {}
@@ -91,15 +92,16 @@
         self._looking: int | None = None
         self._numbers = 0
         self._anew = False
-        self._quiet = QUIET
+        self._patience = min(QUIET + self._pauses.round, WAIT + SLACK)  # of one watch of many callers
+        self._quiet = self._patience
         self._taken = -math.inf  # when the last answer was taken
         self._orders: list[Action] = []
 
     # What it is told.
 
-    def known(self, revision: int) -> None:
-        """Start from a list that came by another way."""
-        self.revision = revision
+    def known(self, now: float, revision: int) -> None:
+        """Start from a list that came by another way: the first watch has time."""
+        self.revision, self._rest_until = revision, now + self._pauses.first()
 
     def watch(self, active: bool) -> None:
         """Keep hearing of changes, or stop after the present call. Said again, it changes nothing."""
@@ -116,9 +118,9 @@
         self._look = self._look or self._looking is not None
         self._calls.clear()
         self._watching = self._former = self._looking = None
-        self.revision, self._anew, self._quiet, self._taken = None, True, QUIET, -math.inf
+        self.revision, self._anew, self._quiet, self._taken = None, True, self._patience, -math.inf
         self._pauses.reset()
-        self._rest_until = now
+        self._rest_until = now + min(self._pauses.first(), self.ledger.terms.after_move / 2)
         self.ledger.moved(now)
 
     def answered(self, now: float, call: int, revision: int, whole: bool) -> bool:
@@ -134,7 +136,7 @@
             elif call == self._watching:
                 self._rest(call, now + GAP)
             return False  # else: a slow answer, older than one that was taken while it was out
-        self._quiet = QUIET if revision != known else self._quiet
+        self._quiet = self._patience if revision != known else self._quiet
         self.revision, self._taken = revision, now
         if call == self._watching:
             self._drop_former()  # before what was unheard is settled: this answer holds what that one would
@@ -226,7 +228,7 @@
         self.ledger.unheard(call.asked, None if call.question.since is None else call.question.wait)
 
     def _failed(self, now: float, mine: _Call, call: int, retry_after: float) -> None:
-        self._anew, self._quiet = True, QUIET
+        self._anew, self._quiet = True, self._patience
         self._rest(call, now + self._pauses.next(self.ledger.due - now, retry_after))
 
     def _rest(self, call: int, until: float) -> None:
--- a/emberlatch/directory/ledger.py
+++ b/emberlatch/directory/ledger.py
@@ -27,18 +27,18 @@
     """Calls that may have been answered and were not heard. Bounded: it keeps the earliest due time only."""
 
     def __init__(self, terms: Terms) -> None:
-        self._terms = terms
+        self.terms = terms
         self.due = math.inf
         """When the first of what is not heard counts as told."""
 
     def unheard(self, asked: float, wait: float | None) -> None:
         """A call written at `asked` brought no answer; `wait` is that of a watch, None for a look-up."""
-        told = self._terms.after_look if wait is None else wait + self._terms.after_wait
+        told = self.terms.after_look if wait is None else wait + self.terms.after_wait
         self.due = min(self.due, asked + told)
 
     def moved(self, now: float) -> None:
         """The service is at another place: nothing of the old one binds, the new one is to be heard soon."""
-        self.due = now + self._terms.after_move
+        self.due = now + self.terms.after_move
 
     def heard(self) -> None:
         """An answer to a later call has been taken: it holds what the earlier ones would have told."""
--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -41,12 +41,13 @@
         tell: Callable[[DirectoryUpdate, Addresses], None],
         tasks: Tasks,
         seed: int,
+        callers: int,
     ) -> None:
         self._service, self._known, self._tell, self._tasks = service, known, tell, tasks
         self._pushed = settings.get("discovery") != "ask"
         self._zones: Sequence[str] = settings.get("failure-domains") or ()
         self._kinds: Sequence[str] = settings.get("machine-types") or ()
-        self._client = Client(seed)
+        self._client = Client(seed, callers=1 if self._pushed else callers)  # an agent has us alone
         self._calls: dict[int, asyncio.Task[None]] = {}
         self._kept: Connection | None = None  # of the last call that went well
         self._timer: asyncio.TimerHandle | None = None
@@ -58,7 +59,7 @@
         whatever that agent has been sent counts as told.
         """
         revision, _, entries, addresses = self.read(self._known)
-        self._client.known(revision)
+        self._client.known(asyncio.get_running_loop().time(), revision)
         self._tell(DirectoryUpdate(ListKind.CACHED, revision, tuple(entries)), addresses)
         if self._pushed:
             self.watch(True)
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -126,7 +126,13 @@
         self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks)
         self.notices = Notices(config.discovery, engine.confirmed, tasks)
         self.directory = Directory(
-            config.discovery, config.known, config.raw_settings, engine.listed, tasks, config.seed
+            config.discovery,
+            config.known,
+            config.raw_settings,
+            engine.listed,
+            tasks,
+            config.seed,
+            config.settings.forwarders,
         )
         engine.join([self.server], self.targets, self.directory, self.notices)
 
--- a/tests/directory/test_client.py
+++ b/tests/directory/test_client.py
@@ -20,7 +20,7 @@
 def watching(seed: int = 1) -> tuple[Client, Ask]:
     """A client that knows revision 5 and has begun to watch at 0."""
     client = Client(seed)
-    client.known(5)
+    client.known(0.0, 5)
     client.watch(True)
     return client, asked(client, 0.0)
 
