A line of sums a second in each log, and a script that adds them up over a fleet

Need: with forty forwarders no single log tells why something was lost; a loss is explained when sums over the fleet show it. Change: engine.Tally counts messages by end, asks, and calls, outcomes and handshakes by target; one line a second in which something passed. benchmarks/fleet_logs.py adds the lines of all logs up, by second and by target.

--- /dev/null
+++ b/benchmarks/fleet_logs.py
@@ -0,0 +1,94 @@
+"""Adds up the logs of a played day over all forwarders, second by second.
+
+    python -m benchmarks.fleet_logs FOLDER [--targets] [--notes]
+
+FOLDER holds one log a forwarder, each line led by its second of the day. A line of sums counts for the
+second in which it was written; a forwarder that has nothing to do writes none.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import re
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from pathlib import Path
+
+LINE = re.compile(r"^(?P<at>[\d.]+) .*?: (?P<text>.*)$")
+NOTE = re.compile(r"^destination \d+ \([0-9a-f]+\): (?P<what>.*)$")
+COLUMNS = ("taken", "turned away", "not taken", "bounced", "dead", "delivered", "late")
+ASKS = ("asks", "lists", "ask failed")
+RESULTS = ("calls", "ok", "full", "error", "timeout", "connect_failed", "reset", "moot", "connects")
+
+
+def read(folder: Path) -> Iterator[tuple[float, str]]:
+    """Second of the day and text of every line of every log."""
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            if (found := LINE.match(line)) is not None:
+                yield float(found["at"]), found["text"].partition(": ")[2] or found["text"]
+
+
+class Sums:
+    """What the logs of a fleet come to."""
+
+    def __init__(self) -> None:
+        self.whole: dict[int, Counter[str]] = defaultdict(Counter)
+        self.targets: dict[str, dict[int, Counter[str]]] = defaultdict(lambda: defaultdict(Counter))
+        self.notes: dict[int, Counter[str]] = defaultdict(Counter)
+
+    def add(self, at: float, text: str) -> None:
+        """One line of one log."""
+        second = int(at)
+        if text.startswith("sums "):
+            told = json.loads(text.removeprefix("sums "))
+            self.whole[second].update(told["all"])
+            for target, counts in told["targets"].items():
+                self.targets[target][second].update(counts)
+        elif (note := NOTE.match(text)) is not None:
+            self.notes[second][note["what"]] += 1
+
+    def table(self) -> Iterator[str]:
+        """A row a second: messages, the directory, then calls over all targets."""
+        names = (*COLUMNS, *ASKS, *RESULTS)
+        yield " ".join(["second", *(name.replace(" ", "-").rjust(7) for name in names)])
+        calls: dict[int, Counter[str]] = defaultdict(Counter)
+        for seconds in self.targets.values():
+            for second, counts in seconds.items():
+                calls[second].update(counts)
+        for second in sorted(self.whole | calls):
+            row = self.whole[second] + calls[second]
+            yield " ".join([f"{second:6}", *(f"{row[n]:{max(7, len(n))}}" for n in names)])
+
+    def by_target(self) -> Iterator[str]:
+        """For each target a row a second in which it was called."""
+        for target, seconds in sorted(self.targets.items()):
+            total = sum(seconds.values(), Counter[str]())
+            yield f"{target}: {dict(total)}"
+            for second, counts in sorted(seconds.items()):
+                yield f"  {second:4} " + " ".join(
+                    f"{name}={counts[name]}" for name in RESULTS if counts[name]
+                )
+
+
+def main() -> None:
+    """See the module."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("folder", type=Path)
+    parser.add_argument("--targets", action="store_true", help="each target's calls by second")
+    parser.add_argument("--notes", action="store_true", help="holds and returns by second")
+    chosen = parser.parse_args()
+    sums = Sums()
+    for at, text in read(chosen.folder):
+        sums.add(at, text)
+    for line in sums.table():
+        print(line)
+    for line in sums.by_target() if chosen.targets else ():
+        print(line)
+    for second, notes in sorted(sums.notes.items()) if chosen.notes else ():
+        print(second, dict(notes))
+
+
+if __name__ == "__main__":
+    main()
--- a/emberlatch/engine/__init__.py
+++ b/emberlatch/engine/__init__.py
@@ -15,6 +15,7 @@
     Notice,
     Submission,
 )
+from emberlatch.engine.tally import Tally
 from emberlatch.engine.tasks import Tasks
 
 __all__ = [
@@ -33,5 +34,6 @@
     "Membership",
     "Notice",
     "Submission",
+    "Tally",
     "Tasks",
 ]
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -25,6 +25,7 @@
     Notice,
     Submission,
 )
+from emberlatch.engine.tally import Tally
 from emberlatch.engine.tasks import Tasks
 from emberlatch.store import Doubt, Entry, Store
 
@@ -50,6 +51,7 @@
         self._settings = replace(settings, probes=False)
         self._forwarder = Forwarder(self._settings, seed)
         self._tasks, self._store, self._machine = tasks, store, machine
+        self.tally = Tally()
         self._offset = 0.0  # of the journal's clock to that of the loop
         self._fronts: Sequence[Front]
         self._carrier: Carrier
@@ -216,18 +218,25 @@
     def outcome(self, outcome: api.Outcome) -> None:
         """An attempt is back; what it says of the message is on disk before the module hears of it."""
         entry = self._held.get(outcome.ref)
+        self.tally.at(outcome.target, outcome.result.name.lower())
         if entry is not None and outcome.closed:
             if self._end.tells_deliveries and outcome.result is api.Result.OK:
                 self._finish(entry.ref, {"result": "delivered"})
             else:
                 self._release(entry)
                 self._journal(self._store.forget, entry)
+            if outcome.result is api.Result.OK:
+                self.tally.count("late" if self._is_late(entry) else "delivered")
         elif entry is not None and outcome.result in NEVER_RAN:
             # Any other outcome leaves the doubt that was recorded before the attempt.
             entry.doubts = [doubt for doubt in entry.doubts if doubt.attempt != outcome.attempt]
             self._journal(self._store.update, entry)
         self._happened(outcome)
 
+    def _is_late(self, entry: Entry) -> bool:
+        category = self._settings.categories[self._categories[entry.category]]
+        return self._wall() > entry.deadline - category.deadline + category.aim
+
     def listed(self, update: api.DirectoryUpdate, addresses: Addresses) -> None:
         """Membership tells of endpoints."""
         self._destinations.update(entry.destination for entry in update.entries)
@@ -281,9 +290,12 @@
                 self._carry_out(action, calls)
             except Exception:
                 log.exception("action failed: %r", action)
+        if (sums := self.tally.line(self._loop.time())) is not None:
+            log.info("sums %s", sums)
         for target, items in calls.items():
             most = self._per_call(target)
             for first in range(0, len(items), most):
+                self.tally.at(target, "calls")
                 self._carrier.call(target, self._longest_first(items[first : first + most]))
 
     def _admit(self, arriving: dict[int, tuple[Entry, Answer]], actions: list[api.Action]) -> None:
@@ -294,8 +306,10 @@
             if end is None and self._has_room(entry) and self._journal(self._store.take, entry):
                 self._held[ref] = entry
                 self._ids.add(entry.id)
+                self.tally.count("taken")
                 answer.accepted()
                 continue
+            self.tally.count("turned away" if isinstance(end, api.Refuse) else "not taken")
             if isinstance(end, api.Refuse):
                 answer.refused(end.retry_after)
             elif isinstance(end, api.Fail):
@@ -369,6 +383,7 @@
         if entry is None:
             return
         self._release(entry)
+        self.tally.count(str(notice["result"]))
         entry.notice = {"ref": entry.id, **notice}
         self._journal(self._store.update, entry)
         self._ended[ref] = entry
--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -11,7 +11,7 @@
 
 from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Phase
 from emberlatch.directory import Ask, Client, Drop, Failure, Question
-from emberlatch.engine import Address, Addresses, Tasks
+from emberlatch.engine import Address, Addresses, Tally, Tasks
 from emberlatch.net.http import BrokenError, Connection, Response, connect, parse_address
 
 log = logging.getLogger(__name__)
@@ -42,8 +42,10 @@
         tasks: Tasks,
         seed: int,
         callers: int,
+        tally: Tally,
     ) -> None:
         self._service, self._known, self._tell, self._tasks = service, known, tell, tasks
+        self._tally = tally
         self._pushed = settings.get("discovery") != "ask"
         self._zones: Sequence[str] = settings.get("failure-domains") or ()
         self._kinds: Sequence[str] = settings.get("machine-types") or ()
@@ -86,6 +88,7 @@
         loop = asyncio.get_running_loop()
         for action in self._client.act(loop.time()):
             if isinstance(action, Ask):
+                self._tally.count("asks")
                 self._calls[action.call] = self._tasks.spawn(self._call(action))
             else:
                 self._drop(action)
@@ -112,6 +115,7 @@
             self._calls.pop(ask.call, None)
         if self._client.answered(asyncio.get_running_loop().time(), ask.call, revision, whole):
             kind = ListKind.FULL if whole else ListKind.DELTA
+            self._tally.count("lists")
             self._tell(DirectoryUpdate(kind, revision, tuple(entries)), addresses)
         else:
             log.info("discovery: an answer of revision %d is passed over", revision)
@@ -119,6 +123,7 @@
 
     def _failed(self, call: int, failure: Failure, retry_after: float, why: str) -> None:
         log.info("discovery failed: %s", why)
+        self._tally.count("ask failed")
         if self._client.failed(asyncio.get_running_loop().time(), call, failure, retry_after):
             self._tell_failed()
         self._go_on()
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from emberlatch.core.interface import Entry, Outcome, Phase, Result, Settings
-from emberlatch.engine import Address, Addresses, Item, Tasks
+from emberlatch.engine import Address, Addresses, Item, Tally, Tasks
 from emberlatch.net.http import BrokenError, Connection, Response, connect
 
 log = logging.getLogger(__name__)
@@ -56,9 +56,15 @@
     """Carries out calls on so many connections; `report` gets one outcome for each message of each."""
 
     def __init__(
-        self, settings: Settings, most: int, report: Callable[[Outcome], None], tasks: Tasks
+        self,
+        settings: Settings,
+        most: int,
+        report: Callable[[Outcome], None],
+        tasks: Tasks,
+        tally: Tally | None = None,
     ) -> None:
         self._settings, self._most, self._report, self._tasks = settings, most, report, tasks
+        self._tally = tally or Tally()
         self._targets: dict[bytes, _Target] = {}
         self._leaving: set[bytes] = set()  # gone, with a call out still
         self._waits: dict[bytes | int, float] = {}  # told waits, by what they bind: a target or a destination
@@ -143,6 +149,7 @@
         connection = self._idle_connection(target)
         if connection is None:
             self._make_room()
+            self._tally.at(call.target, "connects")
             coming = asyncio.ensure_future(connect(target.address, self._settings.connect_timeout))
             try:
                 await call.wait_for(coming, lambda: False)
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -123,7 +123,7 @@
         self.store = Store(self._files(config.state), config.journal_bytes)
         self.engine = engine = Engine(config.settings, config.seed, self.store, tasks, machine)
         self.server = Server(config.listen, Api(engine.submit), config.most_clients, tasks, machine=machine)
-        self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks)
+        self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks, engine.tally)
         self.notices = Notices(config.discovery, engine.confirmed, tasks)
         self.directory = Directory(
             config.discovery,
@@ -133,6 +133,7 @@
             tasks,
             config.seed,
             config.settings.forwarders,
+            engine.tally,
         )
         engine.join([self.server], self.targets, self.directory, self.notices)
 
--- a/emberlatch/standalone/gateway.py
+++ b/emberlatch/standalone/gateway.py
@@ -83,7 +83,7 @@
             self._tasks,
             self._asked if isinstance(self.ends, Ends) else None,
         )
-        self.targets = Targets(told, calls, engine.outcome, self._tasks)
+        self.targets = Targets(told, calls, engine.outcome, self._tasks, engine.tally)
         engine.join([self.server], self.targets, self.membership, self.ends)
         self._control = Control(state, {"status": self.status, "reload": self.reload})
 
