--- a/emberlatch/core/interface.py
+++ b/emberlatch/core/interface.py
@@ -176,6 +176,9 @@
     max_retry_after: float = 0.0
     connect_timeout: float = 1.0
     connection_idle: float = 0.0
+    end_margin: float = 0.0
+    """Seconds before its time is up at which a message is answered at the latest; of one that is handed in
+    with little time left, a quarter of that at most."""
 
     def __post_init__(self) -> None:
         _require(bool(self.categories), "categories", "at least one")
--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -86,7 +86,7 @@
         self.ref, self.destination = event.ref, event.destination
         self.key = event.key if category.ordered else 0  # 0: in no line
         self.category, self.arrived = category, now
-        self.end = now + event.remaining
+        self.end = self.due = now + event.remaining  # its time is up; it is answered at the latest
         self.aim = self.end - (category.deadline - category.aim)
         self.returned = False  # handed in again, or inherited from a forwarder that died
         self.attempts = 0
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -61,7 +61,7 @@
         self.short_until: dict[int, float] = {}  # by kind: targets that seem to be out of connections
         self.free, self.stuck, self.refused, self.came_back = settings.slots, 0, 0, 0
         self.crowd, self.room = 0.0, 1.0  # share of our calls turned away as full of late; 1: next to none
-        self.latest = 2 * settings.round + 0.005  # so long before its end a message is answered
+        self.latest = 2 * settings.round + 0.005  # so long before its end a message is answered at least
         self.ask_at, self.ask_backoff = (-math.inf if settings.must_ask else math.inf), 0.5
         self.timer, self.timers, self.notes, self.stalled = math.inf, 0, 0, -math.inf
         self.stops_at, self.blind = math.inf, False  # blind: a drain may count as told that was not heard
@@ -110,7 +110,7 @@
             self.short[destination] = pool
         brief = self._brief(pool)
         for message in pool.waiting.values():
-            times += [message.end - self.latest, self._wait_end(message, pool, brief)]
+            times += [message.due, self._wait_end(message, pool, brief)]
             times.append(self._hopeless_from(message, pool))
             times += [message.not_before, self.lines.rests_until(message.key)]
         for route in pool.routes if pool.waiting else ():
@@ -120,6 +120,7 @@
     def _arrive(self, event: api.Arrival) -> None:
         now, category = self.now, self.settings.categories[event.category]
         message = Message(event, category, now)
+        message.due = message.end - max(self.latest, min(self.settings.end_margin, event.remaining / 4))
         message.returned = event.orphan or event.remaining < category.deadline - 0.1
         self.came_back += message.returned and not event.orphan
         pool = self._touch(event.destination)
@@ -208,7 +209,7 @@
         """The brief wait ends before the aim; what has no prospect is told so at once; all before the end."""
         brief, asking = self._brief(pool), sum(not route.trial_out for route in pool.routes)
         for message in list(pool.waiting.values()):
-            over = self.now >= message.end - self.latest or message.attempts >= self.settings.max_attempts
+            over = self.now >= message.due or message.attempts >= self.settings.max_attempts
             waited = self.now >= self._wait_end(message, pool, brief)
             if not over and not waited and self.now >= self._hopeless_from(message, pool):
                 # Some stay: who else would find out that it is back?
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -34,6 +34,9 @@
 ACCEPT_FOR = 0.5  # seconds for which new connections are taken after the word to stop
 CALLS_END, GONE_AFTER = 3.0, 3.3  # seconds from that word: calls should be back, the process ends
 NO_ROOM_AGAIN = 1.0  # seconds after which a client may come again when the journal is full
+# Seconds before its time is up at which a message ends for us. A process that is short of its core, most of
+# all one that has just started, learns late what time it is: seen were up to 0.6 s, and 0.3 s late is lost.
+END_MARGIN = 0.25
 NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT)
 
 
@@ -48,7 +51,7 @@
         self, settings: api.Settings, seed: int, store: Store, tasks: Tasks, machine: Machine = REAL
     ) -> None:
         # The platform has no probes beside calls, so the module must not wait for one.
-        self._settings = replace(settings, probes=False)
+        self._settings = replace(settings, probes=False, end_margin=END_MARGIN)
         self._forwarder = Forwarder(self._settings, seed)
         self._tasks, self._store, self._machine = tasks, store, machine
         self.tally = Tally()
@@ -362,6 +365,7 @@
             self._happened(api.Outcome(entry.ref, attempt, action.target, api.Result.MOOT, 0.0))
             return
         left = max(entry.deadline - now, 0.001)
+        left -= min(END_MARGIN, left / 4)
         timeout = min(action.timeout or left, left)
         yield Item(entry.ref, attempt, entry.id, entry.key, entry.body, timeout)
 
--- a/tests/core/test_release.py
+++ b/tests/core/test_release.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import pytest
+
 from emberlatch import Forwarder
 from emberlatch.core import interface as api
 from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Result
@@ -124,3 +126,16 @@
     actions = made.handle(3.0, [api.Outcome(1, 0, b"t", Result.RESET, 0.9)])
     assert not refused([(3.0, action) for action in actions])
     assert [action for action in actions if isinstance(action, api.Fail)]  # unsafe: nothing is left to try
+
+
+def test_what_waits_is_answered_by_the_margin_before_its_end_and_a_short_one_is_tried_still() -> None:
+    """A process that has just started is behind its clock: an answer at the very end comes too late."""
+    made = module(end_margin=0.25)
+    serving(made)
+    wait = api.Outcome(1, 0, b"t", Result.FULL, 0.01, hold=3.0)
+    ends = refused(play(made, 5.0, {2.2: [arrive(1, 2.0)], 2.21: [wait]}))
+    assert 3.9 < ends[1] <= 4.2 - 0.25
+    made = module(end_margin=0.25)
+    first = made.handle(0.1, [arrive(2, 0.6), arrive(3, 0.1)])
+    assert any(isinstance(action, api.Send) for action in first)
+    assert made.open[2].due == pytest.approx(0.55) and made.open[3].due == pytest.approx(0.175)
