Returns at size: tried by the known limit, cold from half way since the last failure

By the notes of all forwarders 200 returns were found out over 18 s (median 6 s after the end of the outage), and each forwarder then took the endpoint for cold for 13 s from its own discovery on. Ruled out by the sums: the pace (no refusals before), leases (1 or 2 of 6 in use), the directory. At fault: Forwarder._cold_rate went by our own thin demand after a refused connection, though that costs next to nothing and the limit is known; Forwarder._release began the cold time at the discovery, which is late by the whole gap between trials. Change: a refused connection is a quick sign (one that never came up in 0.8 s is not); of many forwarders each begins the cold time half way between its last failure and now, which is right in the sum; with three or fewer nothing changes.

--- a/benchmarks/fleet_logs.py
+++ b/benchmarks/fleet_logs.py
@@ -27,7 +27,7 @@
     for path in sorted(folder.glob("*.log")):
         for line in path.read_text(errors="replace").splitlines():
             if (found := LINE.match(line)) is not None:
-                yield float(found["at"]), found["text"].partition(": ")[2] or found["text"]
+                yield float(found["at"]), found["text"]
 
 
 class Sums:
--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -157,6 +157,7 @@
         self.recent = 0.0  # latency of late
         self.last_ok = -math.inf
         self.fails, self.failing = 0, 0.0  # failures in a row, and since when
+        self.failed_at = 0.0  # its last failure, or when it was held
         self.blocked_until = -math.inf
         self.unheard = math.inf  # since when it has been called and has served nothing; inf: it serves
         self.held = self.unwell = self.trial_out = self.probed = False
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -42,7 +42,7 @@
 RETRY_PAUSE = 0.05  # seconds; doubled by each attempt where others crowd in as well
 STOP_ROOM = 3.0  # usual latencies that a call is given to end before the forwarder does
 LASTS = 1 / 3  # of its age an outage is expected to last on; all of it refuses too much of what comes in time
-QUICK = ("", "full", "error", "reset")  # signs of trouble that cost a call next to no time
+QUICK = ("", "full", "error", "reset", "connect_failed")  # signs of trouble that cost a call next to no time
 STALL, NOTES = 0.2, 60  # a timer so late says that we stood still ourselves; log lines in one life
 
 
@@ -374,7 +374,7 @@
         if not route.held:
             self._note(route, f"held after {why}")
         route.held, route.probed, route.spare, route.ramp_until = True, False, False, -math.inf
-        route.sign = why
+        route.sign, route.failed_at = why, self.now
         route.next_trial = self._next_cold(route)
 
     def _silent_at(self, route: Route) -> float:
@@ -485,6 +485,7 @@
             return self._release(route)
         if result is Result.TIMEOUT and max(route.last_ok, endpoint.last_ok) > call.sent:
             return  # one slow message
+        route.failed_at = now
         # One failure may be bad luck, a full table or a lost answer, and a hold costs much where calls
         # are rare. To try once more at once is safe: what pushes over is a late crowd.
         route.fails, route.failing = route.fails + 1, route.failing if route.fails else now
@@ -492,13 +493,18 @@
         many -= result is Result.ERROR and now < route.ramp_until
         lasting = route.fails >= many and (result is not Result.FULL or now - route.failing > GAP)
         if event.hold > GAP or lasting or call.trial:
-            self._hold(route, result.name.lower())
+            never_came_up = result is Result.CONNECT_FAILED and event.elapsed > SILENT_AT_LEAST
+            self._hold(route, "silence" if never_came_up else result.name.lower())
         if result is Result.ERROR and (route.held or now < route.ramp_until):
             # The outage goes on: what went so far weighs nothing on what will return. The next call may go at
             # once, and one behind it: where only most calls fail, one that does not is no return yet.
             route.next_trial = now + RETRY_PAUSE * self.random.uniform(0.5, 1.5)
             route.spare = self._cold_rate(route) * self.rules.tip_after > 1
 
+    def _few(self) -> float:
+        """One forwarder's part of what up to three may do each: 1 for those, less for each of many."""
+        return min(1.0, TOGETHER / self.settings.forwarders)
+
     def _success(self, route: Route, elapsed: float) -> None:
         now, pool = self.now, route.pool
         route.recent += (elapsed - route.recent) * (0.3 if route.recent else 1.0)
@@ -516,8 +522,7 @@
             route.pace *= SPARING  # before any refusal: that would use the limit up as well
         elif route.pace < math.inf:
             # What all of us add together stays the same, however many we are.
-            step = FASTER * (route.pace + min(1.0, TOGETHER / self.settings.forwarders))
-            route.pace = min(route.pace + step, route.limit or math.inf)
+            route.pace = min(route.pace + FASTER * (route.pace + self._few()), route.limit or math.inf)
         route.before = route.pace
 
     def _release(self, route: Route) -> None:
@@ -531,7 +536,9 @@
             route.pace = max(route.pace, route.before * SLOWER)
         spare, route.held, route.probed, route.sign, route.spare = route.spare, False, False, "", False
         if back:
-            route.ramp_until = self.now + self.rules.cold
+            # It came back at some moment since its last failure. The guesses of many even out.
+            guess = (1 - self._few()) * (self.now - route.failed_at) / 2
+            route.ramp_until = self.now + max(0.0, self.rules.cold - guess)
             route.next_trial = self.now if spare else self._next_cold(route)
 
     def _directory(self, event: api.DirectoryUpdate) -> None:
--- a/tests/core/test_fleet_pace.py
+++ b/tests/core/test_fleet_pace.py
@@ -9,7 +9,7 @@
 from emberlatch import Forwarder
 from emberlatch.core import interface as api
 from emberlatch.core.interface import DirectoryUpdate, Entry, ListKind, Result
-from emberlatch.core.records import Route
+from emberlatch.core.records import Call, Route
 from tests.core.test_membership import RULES
 
 NOTE = api.Category("note", api.Effect.SAFE, aim=3.0, deadline=12.0)
@@ -66,3 +66,37 @@
     for n in range(200):
         answer(made, 10 + n, 20.0 + n, Result.OK, 0.9)
     assert route.pace == LIMIT
+
+
+def ramp(forwarders: int, last_failure: float) -> float:
+    """Seconds for which a route that is held from 10 on, fails last as told and answers at 30 is cold."""
+    made, route = member(forwarders)
+    made.now = 10.0
+    made._hold(route, "silence")
+    if last_failure > 10.0:
+        made.handle(last_failure, [])
+        call = Call(route.endpoints[0], last_failure, trial=True)
+        made._learn(api.Outcome(1, 0, b"t", Result.CONNECT_FAILED, 0.01), call, route)
+        assert route.sign == "connect_failed"
+    made.handle(30.0, [])
+    made._success(route, 0.01)
+    assert not route.held
+    return route.ramp_until - 30.0
+
+
+@pytest.mark.parametrize("last_failure", [10.0, 18.0, 29.0])
+def test_one_of_many_guesses_that_it_came_back_half_way_since_its_last_failure(last_failure: float) -> None:
+    guess = (1 - 3 / 40) * (30.0 - last_failure) / 2
+    assert ramp(40, last_failure) == pytest.approx(max(0.0, RULES.cold - guess))
+    assert ramp(3, last_failure) == ramp(1, last_failure) == pytest.approx(RULES.cold)
+
+
+def test_what_refuses_at_once_is_tried_by_its_known_limit_and_what_hangs_by_our_demand() -> None:
+    made, route = member(40)
+    rates = {}
+    for took in (0.01, 1.0):  # a connection that never comes up costs a lease for that long
+        route.held = False
+        call = Call(route.endpoints[0], made.now, trial=True)
+        made._learn(api.Outcome(1, 0, b"t", Result.CONNECT_FAILED, took), call, route)
+        rates[took] = made._cold_rate(route)
+    assert rates[0.01] > 1.5 * rates[1.0]
