Two constants of the pace on lines of their own; what a late call's time-out leaves

The formatter had broken the two constants over four lines, so their meanings stood apart; the margin of a call that goes out late is a quarter of what is left then, which neither code nor operators' page said. No behaviour changes; tests of the module, the engine and the node pass.

--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -31,10 +31,8 @@
 MEMORY = 10.0  # seconds over which demand is averaged: longer than clumps, shorter than outages matter
 TRUSTED = {api.Weights.NOMINAL: 1.0, api.Weights.ROUGH: 0.7, api.Weights.OFF: 0.0, api.Weights.LIVE: 0.0}
 SLOWER, FASTER = 0.8, 0.03  # change of the pace by a refusal, by a success
-SPARING, TOGETHER = (
-    0.95,
-    3,
-)  # change by a success that tells the limit is used up; forwarders of one call a second
+SPARING = 0.95  # change of the pace by a success that tells that the limit is used up
+TOGETHER = 3  # forwarders that may each do what one alone does; more share what these would do
 LEAST_PART, MORE_PART, CROWDED = 0.5, 0.7, 6.0  # its floor over own demand: least, more, fall by refusals
 SHARE_FIRST = 1.5  # of an even part of a known limit, at first: others may need less than theirs
 LEAST_TIMEOUT, TIMEOUT_TIMES = 2.0, 20.0  # cheap time-outs only make waste: a slow message is not lost
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -365,7 +365,7 @@
             self._happened(api.Outcome(entry.ref, attempt, action.target, api.Result.MOOT, 0.0))
             return
         left = max(entry.deadline - now, 0.001)
-        left -= min(END_MARGIN, left / 4)
+        left -= min(END_MARGIN, left / 4)  # a call that begins late in its message's time may use most of it
         timeout = min(action.timeout or left, left)
         yield Item(entry.ref, attempt, entry.id, entry.key, entry.body, timeout)
 
