A second address for operators: readiness, figures and drain

Change: emberlatch/operations listens at EDGE_OPS or ops, with 16 places of its own, answers one call a connection and decides nothing. engine.Tally keeps one set of counters by name and class; the log's sums are differences of them, the figures another view (the old sums counted a delivery twice where deliveries are told as well). Drain is a state of net.server beside stopping; a connection on which a request has come and is not read yet is answered before it is closed. The accept loop is net.accept, used by both listeners.

Tests: tests/operations.

--- a/benchmarks/fleet_logs.py
+++ b/benchmarks/fleet_logs.py
@@ -17,7 +17,18 @@
 
 LINE = re.compile(r"^(?P<at>[\d.]+) .*?: (?P<text>.*)$")
 NOTE = re.compile(r"^destination \d+ \([0-9a-f]+\): (?P<what>.*)$")
-COLUMNS = ("taken", "turned away", "not taken", "bounced", "dead", "delivered", "late")
+COLUMNS = (
+    "taken",
+    "turned away",
+    "no room",
+    "failed at once",
+    "bounced",
+    "dead",
+    "over",
+    "delivered",
+    "late",
+    "dispatches",
+)
 ASKS = ("asks", "lists", "ask failed")
 RESULTS = ("calls", "ok", "full", "error", "timeout", "connect_failed", "reset", "moot", "connects")
 
--- a/benchmarks/isolation.py
+++ b/benchmarks/isolation.py
@@ -16,14 +16,15 @@
 import json
 import math
 import random
+import socket
 import sys
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from emberlatch.core import interface as api
-from emberlatch.engine import Engine, Notice, Tasks
+from emberlatch.engine import REAL, Engine, Notice, Tasks
 from emberlatch.faults.disk import Disk
 from emberlatch.net.api import Api
 from emberlatch.net.http import BrokenError, Connection, connect, parse_address
@@ -144,15 +145,17 @@
         tasks = Tasks()
         self._engine = Engine(settings, 1, Store(Disk(), 20_000_000), tasks)
         self._end = Heard(self._engine.confirmed)
-        self._server = Server(("127.0.0.1", 0), Api(self._engine.submit), 1000, tasks)
+        listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        listener.setblocking(False)
+        self._address = listener.getsockname()
+        machine = replace(REAL, listen=lambda _: listener)
+        self._server = Server(self._address, Api(self._engine.submit), 1000, tasks, machine=machine)
         targets = Targets(settings, 1000, self._engine.outcome, tasks)
         self._engine.join([self._server], targets, Listed(addresses, self._engine.listed), self._end)
         self._idle: list[Connection] = []
 
     async def start(self) -> None:
         await self._engine.start()
-        listener = self._server._listener
-        self._address = listener.getsockname()  # type: ignore[union-attr]
 
     async def call(self, task: int, name: str) -> bool:
         ended = self._end.waiting[name] = asyncio.get_running_loop().create_future()
--- a/emberlatch/__main__.py
+++ b/emberlatch/__main__.py
@@ -24,8 +24,10 @@
         platform.check(config)
     except (ConfigError, *UNREADABLE) as error:
         log.error("configuration not taken: %r", error)
+        platform.engine.tally.count("reload_failure")
         return
     platform.move(config.discovery)
+    platform.engine.tally.count("reload_success")
 
 
 async def _serve() -> None:
--- a/emberlatch/core/view.py
+++ b/emberlatch/core/view.py
@@ -24,6 +24,14 @@
     }
 
 
+def avoided(forwarder: Forwarder, now: float) -> tuple[int, int]:
+    """How many endpoints are listed, and how many of them get no message now: they drain, or their route was
+    told to wait or is held."""
+    listed = [endpoint for endpoint in forwarder.endpoints.values() if not endpoint.gone]
+    shut = sum(not e.ready or e.route.held or e.route.blocked_until > now for e in listed)
+    return len(listed), shut
+
+
 def _matters(pool: Pool, now: float) -> bool:
     if pool.leases or pool.waiting or pool.samples:
         return True
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -11,7 +11,7 @@
 
 from emberlatch.core import Forwarder
 from emberlatch.core import interface as api
-from emberlatch.core.view import view
+from emberlatch.core.view import avoided, view
 from emberlatch.engine.machine import REAL, Machine
 from emberlatch.engine.seams import (
     Addresses,
@@ -136,6 +136,20 @@
         """Whether a message with this id is taken on and has no end yet."""
         return request_id in self._ids
 
+    @property
+    def open(self) -> int:
+        """Messages taken on that have no end yet."""
+        return len(self._held)
+
+    @property
+    def categories(self) -> list[str]:
+        """The classes that may be handed in now."""
+        return list(self._categories)
+
+    def avoided(self) -> tuple[int, int]:
+        """How many endpoints are listed, and how many of them the module avoids now."""
+        return avoided(self._forwarder, self._loop.time())
+
     def status(self) -> dict[str, Any]:
         """What is held and owed, and what the module sees: for operators."""
         now = self._loop.time()
@@ -151,7 +165,7 @@
         self._ids.add(entry.id)
         if category is None:
             log.error("message %s in the journal is of unknown class %r", entry.id, entry.category)
-            return self._finish(entry.ref, {"result": "dead"})
+            return self._give_up(entry.ref, {"result": "dead"})
         arrival = api.Arrival(
             entry.ref,
             category,
@@ -223,13 +237,14 @@
         entry = self._held.get(outcome.ref)
         self.tally.at(outcome.target, outcome.result.name.lower())
         if entry is not None and outcome.closed:
-            if self._end.tells_deliveries and outcome.result is api.Result.OK:
+            delivered = outcome.result is api.Result.OK
+            late = "late" if self._is_late(entry) else "delivered"
+            self.tally.count(late if delivered else "over", entry.category)
+            if self._end.tells_deliveries and delivered:
                 self._finish(entry.ref, {"result": "delivered"})
             else:
                 self._release(entry)
                 self._journal(self._store.forget, entry)
-            if outcome.result is api.Result.OK:
-                self.tally.count("late" if self._is_late(entry) else "delivered")
         elif entry is not None and outcome.result in NEVER_RAN:
             # Any other outcome leaves the doubt that was recorded before the attempt.
             entry.doubts = [doubt for doubt in entry.doubts if doubt.attempt != outcome.attempt]
@@ -312,12 +327,14 @@
                 self.tally.count("taken")
                 answer.accepted()
                 continue
-            self.tally.count("turned away" if isinstance(end, api.Refuse) else "not taken")
             if isinstance(end, api.Refuse):
+                self.tally.count("turned away", entry.category)
                 answer.refused(end.retry_after)
             elif isinstance(end, api.Fail):
+                self.tally.count("failed at once", entry.category)
                 answer.failed()
             else:
+                self.tally.count("no room", entry.category)
                 answer.unavailable(NO_ROOM_AGAIN)
                 self._happened(api.ClientGone(ref))
 
@@ -326,9 +343,9 @@
             case api.Send():
                 calls.setdefault(action.target, []).extend(self._intend(action))
             case api.Refuse(ref, retry_after):
-                self._finish(ref, {"result": "bounced", "wait_ms": round(retry_after * 1000)})
+                self._give_up(ref, {"result": "bounced", "wait_ms": round(retry_after * 1000)})
             case api.Fail(ref):
-                self._finish(ref, {"result": "dead"})
+                self._give_up(ref, {"result": "dead"})
             case api.SetTimer(at, token):
                 if self._timer is not None:
                     self._timer.cancel()
@@ -382,12 +399,14 @@
         """
         return sorted(items, key=lambda item: -self._held[item.ref].deadline)
 
+    def _give_up(self, ref: int, notice: Notice) -> None:
+        if (entry := self._held.get(ref)) is not None:
+            self.tally.count(str(notice["result"]), entry.category)
+            self._finish(ref, notice)
+
     def _finish(self, ref: int, notice: Notice) -> None:
-        entry = self._held.get(ref)
-        if entry is None:
-            return
+        entry = self._held[ref]
         self._release(entry)
-        self.tally.count(str(notice["result"]))
         entry.notice = {"ref": entry.id, **notice}
         self._journal(self._store.update, entry)
         self._ended[ref] = entry
--- a/emberlatch/faults/world.py
+++ b/emberlatch/faults/world.py
@@ -211,6 +211,7 @@
         config = Config(
             listen=self.address,
             discovery=parse_address(world.service.address),
+            operators=None,
             state=Path(self.name),
             seed=world.plan.seed,
             most_clients=100,
--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -44,6 +44,16 @@
     return host, int(port)
 
 
+def readable(transport: asyncio.BaseTransport) -> bool:
+    """Whether something has come on a connection that was not read yet, be it its end."""
+    told = transport.get_extra_info("unread")  # by a transport that is no socket
+    if told is not None:
+        return bool(told())
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Connection(asyncio.Protocol):
     """One connection to a server; an answer's body may have so many bytes."""
 
@@ -76,20 +86,12 @@
     @property
     def usable(self) -> bool:
         """Whether a request may go out on it: it is open, and the other side has said nothing unasked."""
-        if not self.closed and self._readable():
+        if not self.closed and readable(self._transport):
+            # What waits to be read belongs to no answer, or is the end of the connection. Once a request is
+            # out, the rest of a doubled answer would be taken for the answer to it.
             self.close()
         return not self.closed
 
-    def _readable(self) -> bool:
-        # What waits to be read belongs to no answer, or is the end of the connection. Once a request is
-        # out, the rest of a doubled answer would be taken for the answer to it.
-        told = self._transport.get_extra_info("unread")  # by a transport that is no socket
-        if told is not None:
-            return bool(told())
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def close(self) -> None:
         """End the connection at once, whatever is out on it."""
         self.closed = True
--- a/emberlatch/net/limits.py
+++ b/emberlatch/net/limits.py
@@ -9,10 +9,13 @@
 CLIENTS_SHARE = 0.5  # of the others: calls get the rest
 
 
-def places(sockets: int) -> tuple[int, int]:
-    """How many connections of clients and of calls so many descriptors allow; ValueError if none."""
-    free = sockets - RESERVED
+def places(sockets: int, aside: int = 0) -> tuple[int, int]:
+    """How many connections of clients and of calls so many descriptors allow, some set aside for others.
+
+    Raises ValueError if none.
+    """
+    free = sockets - RESERVED - aside
     clients = int(free * CLIENTS_SHARE)
     if clients < 1:
-        raise ValueError(f"must be over {RESERVED + 1}")
+        raise ValueError(f"must be over {RESERVED + aside + 1}")
     return clients, free - clients
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,8 +11,9 @@
 
 import httptools
 
-from emberlatch.engine import REAL, Address, Listener, Machine, Tasks
-from emberlatch.net.http import MAX_HEAD
+from emberlatch.engine import REAL, Address, Machine, Tasks
+from emberlatch.net.accept import Acceptor
+from emberlatch.net.http import MAX_HEAD, readable
 from emberlatch.store import MAX_BODY
 
 log = logging.getLogger(__name__)
@@ -48,11 +48,11 @@
 SOUND = {200, 202, 429, 503}  # answers to requests that were in order
 SLOW = 2.0  # seconds for a new connection's first request, for a request to come in, for answers to be read
 IDLE = 5.0  # seconds that a connection may stand between two requests
+ASKED = 0.5  # the same, where everyone is asked to leave: of those whose request had come and went unanswered
 SWEEP = 0.25  # seconds between looks for connections that are over their time
 LINGER = 0.25  # seconds in which a client that is still sending can read why it was turned away
 PIPELINED = 8  # requests of one connection that wait for their answers
 STRANGERS = 0.25  # of all places, from which on silent ones are the first to go
-AT_ONCE = 4  # connections accepted in one turn of the loop
 
 
 @dataclass(slots=True)
@@ -84,7 +84,7 @@
         """Answer, once; a body is JSON."""
         if status in SOUND:
             self._client.server.proved(self._client)
-        self.keep_alive = self.keep_alive and not self._client.server.stopping
+        self.keep_alive = self.keep_alive and not self._client.server.leaving
         head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n"
         head += "Content-Type: application/json\r\n" if body else ""
         head += f"Retry-After: {retry_after:.3f}\r\n" if retry_after is not None else ""
@@ -109,61 +109,43 @@
         asked: Callable[[str], bytes | None] | None = None,
         machine: Machine = REAL,
     ) -> None:
-        self.submit, self.asked, self.stopping = submit, asked, False
+        self.submit, self.asked = submit, asked
+        self.stopping = self.draining = False
         self._address, self._most, self._tasks, self._machine = address, most_clients, tasks, machine
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
         self._proven: dict[Client, None] = {}  # the longest unused first
-        self._listener: Listener | None = None
+        self._acceptor: Acceptor | None = None
 
     def start(self) -> None:
         """Begin to listen."""
-        self._listener = self._machine.listen(self._address)
-        self._listen()
+        self._acceptor = Acceptor(self._machine.listen(self._address), lambda: Client(self), self._tasks)
         asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
-    def _listen(self) -> None:
-        if self._listener is not None:
-            asyncio.get_running_loop().add_reader(self._listener, self._accept)
-
-    def _accept(self) -> None:
-        """Take a few of those that have connected.
-
-        The loop's own server takes a whole backlog in one turn, and after EMFILE none for a second.
-        """
-        loop, listener = asyncio.get_running_loop(), self._listener
-        for _ in range(AT_ONCE if listener is not None else 0):
-            assert listener is not None
-            try:
-                accepted, _ = listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:  # out of descriptors or memory
-                log.error("no connection could be accepted: %s", error)
-                loop.remove_reader(listener)
-                loop.call_later(0.05, self._listen)
-                return
-            accepted.setblocking(False)
-            self._tasks.spawn(self._take(accepted))
-
-    async def _take(self, accepted: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: Client(self), accepted)
-        except OSError as error:
-            log.info("client lost: %s", error)
-            accepted.close()
-
     def stop(self) -> None:
         """Go on accepting, but close idle connections and each one that has had its answer."""
         self.stopping = True
+        self._empty()
+
+    def drain(self, active: bool) -> None:
+        """Ask everyone to leave while what comes is served as ever; or take clients again."""
+        self.draining = active
+        if active:
+            self._empty()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether clients are to go."""
+        return self.stopping or self.draining
+
+    def _empty(self) -> None:
         for client in [*self._strangers, *self._proven]:
             client.close_if_idle()
 
     def close_listener(self) -> None:
         """Accept no more."""
-        if self._listener is not None:
-            asyncio.get_running_loop().remove_reader(self._listener)
-            self._listener.close()
-            self._listener = None
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
 
     @property
     def has_clients(self) -> bool:
@@ -203,7 +185,7 @@
         for client in list(self._strangers):
             client.check_time(now, SLOW)
         for client in list(self._proven):
-            client.check_time(now, IDLE)
+            client.check_time(now, ASKED if self.leaving else IDLE)
         asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
 
@@ -273,7 +255,8 @@
         self._reserve(keep_alive=False).send(status)
 
     def close_if_idle(self) -> None:
-        if self.idle:
+        """A request that has come and is not read yet would be lost: it is answered first."""
+        if self.idle and not readable(self.transport):
             self.transport.close()
 
     def check_time(self, now: float, idle: float) -> None:
@@ -356,7 +339,7 @@
         elif request.method != PATHS[path]:
             reply.send(405, allow=PATHS[path])
         elif path == b"/healthz":
-            reply.send(503 if self.server.stopping else 200)
+            reply.send(503 if self.server.leaving else 200)
         else:
             try:
                 self.server.submit(request, reply)
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -164,9 +164,12 @@
             return call.settle_all(Result.MOOT)
         call.items = list(call.pending)
         answer = connection.exchange(_request(target.address, call.items))
+        at_once = connection.written
+        self._tally.count("dispatches", by=len(call.items) * at_once)
         try:
             await call.wait_for(answer, lambda: connection.written)
         finally:
+            self._tally.count("dispatches", by=len(call.items) * (connection.written and not at_once))
             if answer.cancel():
                 connection.close()  # giving up a call ends its connection, and so frees its slot
         if answer.cancelled():
--- /dev/null
+++ b/emberlatch/operations/__init__.py
@@ -0,0 +1,6 @@
+"""The operators' front: an address of its own for readiness, figures and drain. It decides nothing."""
+
+from emberlatch.operations.address import PLACES, Call, Operators
+from emberlatch.operations.figures import figures
+
+__all__ = ["PLACES", "Call", "Operators", "figures"]
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -19,6 +19,7 @@
 from emberlatch.net.notices import Notices
 from emberlatch.net.server import Server
 from emberlatch.net.targets import Targets
+from emberlatch.operations import PLACES, Call, Operators, figures
 from emberlatch.simlink import wire
 from emberlatch.store import Store
 
@@ -37,6 +38,7 @@
 
     listen: Address
     discovery: Address
+    operators: Address | None
     state: Path
     seed: int
     most_clients: int
@@ -74,6 +76,16 @@
     return float(value)
 
 
+def _operators(document: Mapping[str, Any], environment: Mapping[str, str]) -> Address | None:
+    """Where operators call: what the process itself was told goes before the file, which two may share."""
+    if told := environment.get("EDGE_OPS"):
+        try:
+            return parse_address(told)
+        except ValueError as error:
+            raise ConfigError(f"EDGE_OPS: {error}") from error
+    return _address(document, "ops") if "ops" in document else None
+
+
 def read_config(environment: Mapping[str, str]) -> Config:
     """Read the configuration file and the folder that the environment names."""
     path, state = (_need(environment, name) for name in ("EDGE_CONFIG", "EDGE_STATE"))
@@ -86,8 +98,10 @@
     if not isinstance(document, dict):
         raise ConfigError("EDGE_CONFIG: must hold a JSON object")
     limits, settings = _object(document, "limits"), _object(document, "settings")
+    operators = _operators(document, environment)
+    aside = 0 if operators is None else 1 + PLACES
     try:
-        most_clients, most_calls = places(int(_positive(limits, "sockets")))
+        most_clients, most_calls = places(int(_positive(limits, "sockets")), aside)
     except ValueError as error:
         raise ConfigError(f"limits.sockets: {error}") from error
     try:
@@ -101,6 +115,7 @@
     return Config(
         listen=_address(document, "listen"),
         discovery=_address(document, "discovery"),
+        operators=operators,
         state=Path(state),
         seed=seed,
         most_clients=most_clients,
@@ -136,14 +151,54 @@
             engine.tally,
         )
         engine.join([self.server], self.targets, self.directory, self.notices)
+        self._serving = False
+        self.operators: Operators | None = None
+        if config.operators is not None:
+            self.operators = Operators(config.operators, self._calls(), tasks, machine)
+
+    def _calls(self) -> Mapping[bytes, Call]:
+        return {
+            b"/ops/readiness": Call(b"GET", self._readiness),
+            b"/ops/stats": Call(b"GET", lambda: (200, self.figures())),
+            b"/ops/drain/start": Call(b"POST", lambda: self._drain(True)),
+            b"/ops/drain/stop": Call(b"POST", lambda: self._drain(False)),
+        }
 
     async def start(self) -> None:
-        """Go on with what the journal holds, then listen."""
+        """Listen for operators, go on with what the journal holds, then listen for clients."""
+        if self.operators is not None:
+            try:
+                self.operators.start()
+            except OSError as error:
+                raise ConfigError(f"ops: {error}") from error
         await self.engine.start()
+        self._serving = True
 
     async def stop(self) -> None:
         """End what can end in time and leave the rest to the journal."""
         await self.engine.stop()
+        if self.operators is not None:
+            self.operators.close()
+
+    def figures(self) -> str:
+        """The operators' figures, as text."""
+        engine = self.engine
+        return figures(engine.tally, engine.categories, engine.open, *engine.avoided())
+
+    def _readiness(self) -> tuple[int, str]:
+        if not self._serving:
+            return 503, "starting\n"
+        if self.server.stopping:
+            return 503, "stopping\n"
+        return (503, "draining\n") if self.server.draining else (200, "ready\n")
+
+    def _drain(self, active: bool) -> tuple[int, str]:
+        if self.server.stopping and not active:
+            return 409, "stopping: that is not taken back\n"
+        if self.server.draining != active:
+            log.info("drain %s", "begins" if active else "ends")
+        self.server.drain(active)
+        return 200, "draining\n" if active else "serving\n"
 
     def check(self, config: Config) -> None:
         """Look at the parts of a new configuration that are read at a start only; raises if one is bad."""
--- a/tests/engine/test_tally.py
+++ b/tests/engine/test_tally.py
@@ -13,7 +13,7 @@
 def test_a_line_tells_what_passed_since_the_last_one_and_nothing_else() -> None:
     tally = Tally()
     assert tally.line(50.0) is None  # nothing has passed
-    tally.count("taken", 2)
+    tally.count("taken", by=2)
     tally.at(b"t", "calls")
     tally.at(b"t", "ok", 3)
     told = json.loads(tally.line(50.5) or "")
@@ -36,7 +36,7 @@
     start = "2026-01-01 00:00:00,000 INFO emberlatch.engine.engine:"
     for number in (1, 2):
         tally = Tally()
-        tally.count("taken", number)
+        tally.count("taken", by=number)
         tally.at(b"t", "full", number)
         lines = [f"1.500 {start} sums {tally.line(9.0)}"]
         lines += [f"2.100 {start} destination 4 (74): held after full", "no line of ours"]
--- /dev/null
+++ b/tests/operations/test_address.py
@@ -0,0 +1,248 @@
+"""The operators' address of a forwarder in this process: readiness, figures, drain, and harmful callers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from emberlatch.operations import PLACES
+from emberlatch.platform import ConfigError, read_config
+from emberlatch.platform import Platform as Node
+from tests.peers import (
+    Handler,
+    Peer,
+    Platform,
+    accept,
+    config,
+    free_port,
+    member,
+    message_headers,
+    read_message,
+    request,
+    silence,
+)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        await asyncio.wait_for(test(), 60)
+
+    asyncio.run(limited())
+
+
+@asynccontextmanager
+async def node(folder: Path, handler: Handler = accept) -> AsyncIterator[tuple[int, int, Peer, Node]]:
+    """A forwarder; its port for clients, its port for operators, its target."""
+    async with Peer(handler) as target:
+        platform = Platform([member(target.address)])
+        async with Peer(platform.handle) as service:
+            port, operators = await free_port(), await free_port()
+            document = config(service.address, platform.document(), port) | {"ops": f"127.0.0.1:{operators}"}
+            (folder / "config.json").write_text(json.dumps(document))
+            (folder / "state").mkdir(exist_ok=True)
+            environment = {"EDGE_CONFIG": str(folder / "config.json"), "EDGE_STATE": str(folder / "state")}
+            under_test = Node(read_config(environment))
+            await under_test.start()
+            try:
+                yield port, operators, target, under_test
+            finally:
+                await under_test.stop()
+
+
+async def call(port: int, method: str, path: str) -> tuple[int, str]:
+    """One call of an operator, to the end of its connection."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+    line, headers, body = await read_message(reader)
+    assert headers["connection"] == "close" and await reader.read() == b""
+    writer.close()
+    return int(line.split(" ")[1]), body.decode()
+
+
+async def figures(port: int) -> dict[str, int]:
+    status, text = await call(port, "GET", "/ops/stats")
+    assert status == 200
+    pairs = [line.partition("=")[::2] for line in text.splitlines()]
+    assert all(name.startswith("app.") for name, _ in pairs)
+    return {name.removeprefix("app."): int(value) for name, value in pairs}
+
+
+async def until(port: int, wanted: dict[str, int]) -> dict[str, int]:
+    """The figures, once they are as wanted."""
+    while True:
+        told = await figures(port)
+        if wanted.items() <= told.items():
+            return told
+
+
+async def hand_in(port: int, name: str, **headers: str) -> int:
+    return (await request(port, "POST", "/api", message_headers(name, **headers), b"x"))[0]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/ops/readiness", 200),
+        ("GET", "/ops/stats", 200),
+        ("POST", "/ops/stats", 405),
+        ("GET", "/ops/drain/start", 405),
+        ("GET", "/healthz", 404),
+        ("GET", "/", 404),
+        ("GET", "/" + "x" * 9000, 431),
+    ],
+)
+def test_each_call_has_its_answer(tmp_path: Path, method: str, path: str, status: int) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (_, operators, _, _):
+            assert (await call(operators, method, path))[0] == status
+
+    run(test)
+
+
+def test_what_cannot_be_read_costs_its_caller_an_error(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (_, operators, _, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", operators)
+            writer.write(b"\x00nonsense\r\n\r\n")
+            assert (await reader.readline()).split()[1] == b"400"
+            writer.close()
+            assert (await call(operators, "GET", "/ops/readiness"))[0] == 200
+
+    run(test)
+
+
+def test_every_class_is_told_from_zero_on(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (_, operators, _, _):
+            told = await figures(operators)
+            assert {
+                f"{end}.{c}" for end in ("success", "overload", "error") for c in ("payout", "order")
+            } < set(told)
+            assert {told.pop("targets")} | set(told.values()) == {0, 1}
+
+    run(test)
+
+
+def test_each_message_is_counted_once_by_its_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (port, operators, target, _):
+            for number in range(3):
+                assert await hand_in(port, f"m{number}") == 202
+            told = await until(operators, {"success.status-update": 3})
+            assert told["dispatches"] == 3 and told["concurrent"] == 0
+            assert not any(value for name, value in told.items() if name.startswith(("overload", "error")))
+            target.handler = silence
+            assert await hand_in(port, "late", X_Timeout_Ms="400", X_Priority_Class="order") == 202
+            await until(operators, {"concurrent": 1, "dispatches": 4})
+            told = await until(operators, {"concurrent": 0, "error.order": 1})
+            assert told["success.status-update"] == 3
+
+    run(test)
+
+
+def test_a_handed_back_and_a_refused_message_are_overload(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (port, operators, _, under_test):
+            under_test.targets.update([], {}, whole=True)
+            target = next(iter(under_test.engine._forwarder.endpoints.values()))
+            target.ready = False  # nothing can be sent: what comes waits, and is handed back before its end
+            assert await hand_in(port, "m1", X_Timeout_Ms="300") == 202
+            told = await until(operators, {"overload.status-update": 1})
+            assert told["concurrent"] == 0 and told["targets_disabled"] == 1
+
+    run(test)
+
+
+def test_drain_empties_and_goes_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (port, operators, target, _):
+            idle_reader, idle = await asyncio.open_connection("127.0.0.1", port)
+            idle.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+            assert (await read_message(idle_reader))[0].split()[1] == "200"
+            assert (await call(operators, "POST", "/ops/drain/start"))[0] == 200
+            assert await idle_reader.read() == b""  # an idle connection is closed
+            idle.close()
+            status, headers = await request(port, "GET", "/healthz")
+            assert status == 503 and headers["connection"] == "close"
+            status, headers = await request(port, "POST", "/api", message_headers("m1"), b"x")
+            assert status == 202 and headers["connection"] == "close"  # what comes is served as ever
+            assert (await target.next()).headers["x-request-id"] == "m1"
+            assert (await call(operators, "GET", "/ops/readiness"))[0] == 503
+            assert (await call(operators, "POST", "/ops/drain/start"))[0] == 200  # twice is once
+            assert (await call(operators, "POST", "/ops/drain/stop"))[0] == 200
+            status, headers = await request(port, "GET", "/healthz")
+            assert status == 200 and "connection" not in headers
+            assert (await call(operators, "GET", "/ops/readiness"))[0] == 200
+            assert (await call(operators, "POST", "/ops/drain/stop"))[0] == 200  # what never began
+
+    run(test)
+
+
+def test_a_request_that_has_come_when_a_drain_begins_is_answered(tmp_path: Path) -> None:
+    """The connection looks idle until it is read: closed blindly, the request would be lost with it."""
+
+    async def test() -> None:
+        async with node(tmp_path) as (port, _, _, under_test):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+            await read_message(reader)
+            writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+            under_test.server.drain(True)  # before the loop has read it
+            line, headers, _ = await read_message(reader)
+            assert line.split()[1] == "503" and headers["connection"] == "close"
+            writer.close()
+
+    run(test)
+
+
+def test_a_stop_is_not_taken_back_by_the_end_of_a_drain(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (port, operators, _, under_test):
+            assert (await call(operators, "POST", "/ops/drain/start"))[0] == 200
+            under_test.server.stop()
+            assert (await call(operators, "POST", "/ops/drain/stop"))[0] == 409
+            assert (await request(port, "GET", "/healthz"))[0] == 503
+
+    run(test)
+
+
+def test_silent_callers_keep_nobody_out(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (port, operators, _, _):
+            silent = [await asyncio.open_connection("127.0.0.1", operators) for _ in range(200)]
+            halves = [await asyncio.open_connection("127.0.0.1", operators) for _ in range(PLACES)]
+            for _, writer in halves:
+                writer.write(b"GET /ops/sta")
+            for number in range(5):
+                assert (await call(operators, "GET", "/ops/readiness"))[0] == 200
+                assert await hand_in(port, f"m{number}") == 202
+            for reader, _ in silent:
+                assert await reader.read() == b""  # closed, by its time or for want of places
+            ends = [await reader.read() for reader, _ in halves]
+            assert any(end.startswith(b"HTTP/1.1 408") for end in ends)
+            for _, writer in silent + halves:
+                writer.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("told", ["nowhere", "127.0.0.1:99999", ":1"])
+def test_a_bad_address_is_named(tmp_path: Path, told: str) -> None:
+    (tmp_path / "config.json").write_text(json.dumps(config("127.0.0.1:1", {}, 1) | {"ops": told}))
+    environment = {"EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_STATE": str(tmp_path)}
+    with pytest.raises(ConfigError, match=r"^ops: "):
+        read_config(environment)
+    with pytest.raises(ConfigError, match=r"^EDGE_OPS: "):
+        read_config(environment | {"EDGE_OPS": told})
+
+
+def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text(json.dumps(config("127.0.0.1:1", {}, 1) | {"ops": "127.0.0.1:2"}))
+    environment = {"EDGE_CONFIG": str(tmp_path / "config.json"), "EDGE_STATE": str(tmp_path)}
+    assert read_config(environment).operators == ("127.0.0.1", 2)
+    assert read_config(environment | {"EDGE_OPS": "127.0.0.1:3"}).operators == ("127.0.0.1", 3)
