Settings that change at SIGHUP: taken whole or not, messages keep their terms

Cause: SIGHUP took discovery alone.

Change: the new file is held against the one in force (operations/settings.py, no I/O): a key that went, or null, turns it down, as do deadlines and attempts that are no number over 0 (text and null passed before: simlink/wire.py took float() of anything, and null as absent). The module gets NewSettings in its place among the events; a message holds its terms.

Tests: tests/operations/test_settings.py, a file cut at every byte among them.

--- a/emberlatch/__main__.py
+++ b/emberlatch/__main__.py
@@ -26,8 +26,7 @@
         log.error("configuration not taken: %r", error)
         platform.engine.tally.count("reload_failure")
         return
-    platform.move(config.discovery)
-    platform.engine.tally.count("reload_success")
+    platform.reload(config)
 
 
 async def _serve() -> None:
--- a/emberlatch/core/interface.py
+++ b/emberlatch/core/interface.py
@@ -191,6 +191,14 @@
         _require(self.max_retry_after >= 0, "allowed.max-retry-after", "0 or more")
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What binds a message from when it is taken to its end, whatever the settings say later."""
+
+    category: Category
+    max_attempts: int
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     """An endpoint as the directory lists it; `cold` says that it is known to be new, and is to be ramped."""
@@ -234,12 +242,24 @@
 class Recovered:
     """A message taken on in an earlier life of this forwarder is still owed its answer.
 
-    Attempts are numbered on from `attempts`. Calls that were out when that life ended are doubts.
+    Attempts are numbered on from `attempts`. Calls that were out when that life ended are doubts. It has the
+    terms under which it was taken; without them, those of its class now.
     """
 
     arrival: Arrival
     attempts: int = 0
     doubts: tuple[Doubt, ...] = ()
+    terms: Terms | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """From now on these hold. Classes are numbered anew; messages keep the terms under which they were taken.
+
+    What lists and calls are read by (kinds, zones, routes, rules) is as before.
+    """
+
+    settings: Settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -327,6 +347,7 @@
 Event = (
     Arrival
     | Recovered
+    | NewSettings
     | Stopping
     | Opened
     | Outcome
--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -82,10 +82,12 @@
 class Message:
     """A message that is owed one final answer."""
 
-    def __init__(self, event: api.Arrival, category: api.Category, now: float) -> None:
+    def __init__(self, event: api.Arrival, terms: api.Terms, now: float) -> None:
         self.ref, self.destination = event.ref, event.destination
+        category = self.category = terms.category
+        self.most_attempts = terms.max_attempts
         self.key = event.key if category.ordered else 0  # 0: in no line
-        self.category, self.arrived = category, now
+        self.arrived = now
         self.end = self.due = now + event.remaining  # its time is up; it is answered at the latest
         self.aim = self.end - (category.deadline - category.aim)
         self.returned = False  # handed in again, or inherited from a forwarder that died
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -67,12 +67,11 @@
         self.ask_at, self.ask_backoff = (-math.inf if settings.must_ask else math.inf), 0.5
         self.timer, self.timers, self.notes, self.stalled = math.inf, 0, 0, -math.inf
         self.stops_at, self.blind = math.inf, False  # blind: a drain may count as told that was not heard
-        self.healthy_cap = max(1, math.ceil(settings.slots * 3 / 4) - 1)
-        self.sick_cap = max(1, settings.slots // 2)
+        self._set_caps()
         self.handlers: dict[type, Any] = {
             api.Arrival: self._arrive, api.Recovered: self._recover, api.Outcome: self._outcome,
             api.ProbeResult: self._probed, api.DirectoryUpdate: self._directory,
-            api.DirectoryMoved: self._moved,
+            api.DirectoryMoved: self._moved, api.NewSettings: self._retune,
             api.ClientGone: lambda event: self._close(event.ref), api.Stopping: self._stop,
         }  # fmt: skip
 
@@ -120,8 +119,12 @@
         self.agenda.put(destination, min((at for at in times if at > self.now), default=math.inf))
 
     def _arrive(self, event: api.Arrival) -> None:
-        now, category = self.now, self.settings.categories[event.category]
-        message = Message(event, category, now)
+        settings = self.settings
+        self._take(event, api.Terms(settings.categories[event.category], settings.max_attempts))
+
+    def _take(self, event: api.Arrival, terms: api.Terms) -> Message:
+        now, category = self.now, terms.category
+        message = Message(event, terms, now)
         message.due = message.end - max(self.latest, min(self.settings.end_margin, event.remaining / 4))
         message.returned = event.orphan or event.remaining < category.deadline - 0.1
         self.came_back += message.returned and not event.orphan
@@ -134,16 +137,30 @@
                     route.next_trial = self._next_cold(route)
         self.open[event.ref] = pool.waiting[event.ref] = message
         self.lines.join(message)
+        return message
 
     def _recover(self, event: api.Recovered) -> None:
         """Go on where the earlier life ended: what was out then may have run, and binds as ever."""
-        self._arrive(event.arrival)
-        message = self.open[event.arrival.ref]
+        settings, arrival = self.settings, event.arrival
+        now = api.Terms(settings.categories[arrival.category], settings.max_attempts)
+        message = self._take(arrival, event.terms or now)
         message.returned, message.attempts = True, event.attempts
         message.doubts = [(self.now - doubt.age, doubt.target, doubt.zone) for doubt in event.doubts]
         if message.doubts and not self._has_way(message):
             self._end(message)
 
+    def _retune(self, event: api.NewSettings) -> None:
+        """Messages have their terms; what is asked of the whole forwarder changes at once."""
+        self.free += event.settings.slots - self.settings.slots
+        self.settings = event.settings
+        self._set_caps()
+        for destination in self.pools:
+            self._touch(destination)
+
+    def _set_caps(self) -> None:
+        slots = self.settings.slots
+        self.healthy_cap, self.sick_cap = max(1, math.ceil(slots * 3 / 4) - 1), max(1, slots // 2)
+
     def _stop(self, event: api.Stopping) -> None:
         self.stops_at = event.at
 
@@ -211,7 +228,7 @@
         """The brief wait ends before the aim; what has no prospect is told so at once; all before the end."""
         brief, asking = self._brief(pool), sum(not route.trial_out for route in pool.routes)
         for message in list(pool.waiting.values()):
-            over = self.now >= message.due or message.attempts >= self.settings.max_attempts
+            over = self.now >= message.due or message.attempts >= message.most_attempts
             waited = self.now >= self._wait_end(message, pool, brief)
             if not over and not waited and self.now >= self._hopeless_from(message, pool):
                 # Some stay: who else would find out that it is back?
@@ -294,7 +311,7 @@
 
     def _timeout(self, message: Message, route: Route) -> float:
         """Never shorter than doubt is worth: after doubt an unsafe message is lost to us."""
-        if message.category.effect is Effect.UNSAFE or message.attempts + 1 >= self.settings.max_attempts:
+        if message.category.effect is Effect.UNSAFE or message.attempts + 1 >= message.most_attempts:
             return 0.0
         long = max(LEAST_TIMEOUT, TIMEOUT_TIMES * route.pool.normal) * 2.0 ** len(message.doubts)
         return self._silence(route.pool) if route.held else long
@@ -305,7 +322,7 @@
     def _may_send(self, message: Message, endpoint: Endpoint) -> bool:
         """Once an attempt may have run, a further one stays within what the class allows."""
         category = message.category
-        if message.call is not None or message.attempts >= self.settings.max_attempts:
+        if message.call is not None or message.attempts >= message.most_attempts:
             return False
         if not message.doubts or category.effect is not Effect.KEYED:
             return not message.doubts or category.effect is Effect.SAFE
@@ -438,7 +455,7 @@
 
     def _has_way(self, message: Message) -> bool:
         """Whether its class allows a further attempt: an endpoint for it may be listed any time."""
-        if message.attempts >= self.settings.max_attempts:
+        if message.attempts >= message.most_attempts:
             return False
         effect = message.category.effect
         bound = effect is not Effect.SAFE and bool(message.doubts)
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -27,6 +27,7 @@
 )
 from emberlatch.engine.tally import Tally
 from emberlatch.engine.tasks import Tasks
+from emberlatch.engine.terms import read, write
 from emberlatch.store import Doubt, Entry, Store
 
 log = logging.getLogger(__name__)
@@ -50,8 +51,7 @@
     def __init__(
         self, settings: api.Settings, seed: int, store: Store, tasks: Tasks, machine: Machine = REAL
     ) -> None:
-        # The platform has no probes beside calls, so the module must not wait for one.
-        self._settings = replace(settings, probes=False, end_margin=END_MARGIN)
+        self._use(settings)
         self._forwarder = Forwarder(self._settings, seed)
         self._tasks, self._store, self._machine = tasks, store, machine
         self.tally = Tally()
@@ -60,8 +60,6 @@
         self._carrier: Carrier
         self._membership: Membership
         self._end: End
-        self._categories = {category.name: n for n, category in enumerate(self._settings.categories)}
-        self._tenants = {tenant.name: n for n, tenant in enumerate(self._settings.tenants)}
         self._destinations: set[int] = set()
         self._arriving: dict[int, tuple[Entry, Answer]] = {}  # not yet shown to the module
         self._arriving_ids: set[str] = set()
@@ -73,6 +71,19 @@
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
 
+    def _use(self, settings: api.Settings) -> None:
+        # The platform has no probes beside calls, so the module must not wait for one.
+        self._settings = settings = replace(settings, probes=False, end_margin=END_MARGIN)
+        self._categories = {category.name: n for n, category in enumerate(settings.categories)}
+        self._tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
+        terms = [api.Terms(category, settings.max_attempts) for category in settings.categories]
+        self._terms = [(told, write(told)) for told in terms]  # by number of class
+
+    def retune(self, settings: api.Settings) -> None:
+        """From now on these settings hold; what was taken before keeps its terms."""
+        self._use(settings)
+        self._happened(api.NewSettings(self._settings))
+
     def join(self, fronts: Sequence[Front], carrier: Carrier, membership: Membership, end: End) -> None:
         """Put the seams in their places, once, before the start."""
         self._fronts, self._carrier, self._membership, self._end = fronts, carrier, membership, end
@@ -160,22 +171,32 @@
         self._happened(api.DirectoryMoved())
 
     def _recover(self, entry: Entry, now: float) -> None:
-        category = self._categories.get(entry.category)
+        terms = self._terms_of(entry)
         self._held[entry.ref] = entry
         self._ids.add(entry.id)
-        if category is None:
+        if terms is None:
             log.error("message %s in the journal is of unknown class %r", entry.id, entry.category)
             return self._give_up(entry.ref, {"result": "dead"})
         arrival = api.Arrival(
             entry.ref,
-            category,
+            0,
             entry.destination,
             entry.deadline - now,
             self._tenants.get(entry.tenant, 0),
             orphan=True,
         )
         doubts = tuple(api.Doubt(d.target.encode(), d.zone, now - d.sent) for d in entry.doubts)
-        self._happened(api.Recovered(arrival, entry.attempts, doubts))
+        self._happened(api.Recovered(arrival, entry.attempts, doubts, terms))
+
+    def _terms_of(self, entry: Entry) -> api.Terms | None:
+        """The terms of a message; of one without, those of its class now; None if there is no such class."""
+        try:
+            return read(entry.terms)
+        except (ValueError, KeyError, TypeError) as error:
+            if entry.terms:
+                log.error("message %s: its terms cannot be read: %r", entry.id, error)
+        number = self._categories.get(entry.category)
+        return None if number is None else self._terms[number][0]
 
     # What comes in.
 
@@ -196,6 +217,7 @@
             message.destination,
             self._wall() + remaining,
             message.body,
+            terms=self._terms[number][1],
         )
         self._arriving[ref] = entry, answer
         self._arriving_ids.add(entry.id)
@@ -252,7 +274,8 @@
         self._happened(outcome)
 
     def _is_late(self, entry: Entry) -> bool:
-        category = self._settings.categories[self._categories[entry.category]]
+        terms = self._terms_of(entry)
+        category = terms.category if terms is not None else self._settings.categories[0]
         return self._wall() > entry.deadline - category.deadline + category.aim
 
     def listed(self, update: api.DirectoryUpdate, addresses: Addresses) -> None:
--- a/emberlatch/operations/__init__.py
+++ b/emberlatch/operations/__init__.py
@@ -2,5 +2,6 @@
 
 from emberlatch.operations.address import PLACES, Call, Operators
 from emberlatch.operations.figures import figures
+from emberlatch.operations.settings import lacking, merged
 
-__all__ = ["PLACES", "Call", "Operators", "figures"]
+__all__ = ["PLACES", "Call", "Operators", "figures", "lacking", "merged"]
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -6,7 +6,7 @@
 import logging
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +19,7 @@
 from emberlatch.net.notices import Notices
 from emberlatch.net.server import Server
 from emberlatch.net.targets import Targets
-from emberlatch.operations import PLACES, Call, Operators, figures
+from emberlatch.operations import PLACES, Call, Operators, figures, lacking, merged
 from emberlatch.simlink import wire
 from emberlatch.store import Store
 
@@ -47,10 +47,11 @@
     known: Mapping[str, Any]
     raw_settings: Mapping[str, Any]
     settings: api.Settings
+    document: Mapping[str, Any] = field(default_factory=dict)  # the whole file
 
 
 def _need(section: Mapping[str, Any], name: str, path: str = "") -> Any:
-    if name not in section:
+    if section.get(name) is None:
         raise ConfigError(f"{path}{name}: is missing")
     return section[name]
 
@@ -124,6 +125,7 @@
         known=_object(document, "known"),
         raw_settings=settings,
         settings=decoded,
+        document=document,
     )
 
 
@@ -133,6 +135,7 @@
     def __init__(self, config: Config, machine: Machine = REAL) -> None:
         """Raises ValueError if the journal's room is too small."""
         self._discovery = config.discovery
+        self._settings, self._document = config.settings, config.document
         self.tasks = tasks = Tasks()
         self._files = machine.files
         self.store = Store(self._files(config.state), config.journal_bytes)
@@ -202,9 +205,22 @@
 
     def check(self, config: Config) -> None:
         """Look at the parts of a new configuration that are read at a start only; raises if one is bad."""
+        if (key := lacking(self._document, config.document)) is not None:
+            raise ConfigError(f"{key}: is missing")
         Store(self._files(config.state), config.journal_bytes)
         self.directory.read(config.known)
 
+    def reload(self, config: Config) -> None:
+        """Take a new configuration that `check` has found good."""
+        self._document = config.document
+        settings = merged(self._settings, config.settings)
+        if settings != self._settings:
+            log.info("new settings: classes %s", ", ".join(c.name for c in settings.categories))
+            self._settings = settings
+            self.engine.retune(settings)
+        self.move(config.discovery)
+        self.engine.tally.count("reload_success")
+
     def move(self, discovery: Address) -> None:
         """Discovery, which also takes the notices, is at another address from now on."""
         if discovery == self._discovery:
--- a/emberlatch/simlink/wire.py
+++ b/emberlatch/simlink/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import struct
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -91,7 +92,7 @@
 
 
 def _need(section: Mapping[str, Any], key: str, path: str) -> Any:
-    if key not in section:
+    if section.get(key) is None:
         raise _settings_error(f"{path}{key}", "is missing")
     return section[key]
 
@@ -101,13 +102,21 @@
     return {name: cast(section[key]) for key, name in names.items() if section.get(key) is not None}
 
 
+def _over_zero(section: Mapping[str, Any], key: str, path: str) -> Any:
+    """A number over 0, and no other thing that Python would make one of."""
+    value = _need(section, key, path)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise _settings_error(f"{path}{key}", "must be a number over 0")
+    return value
+
+
 def _category(item: Mapping[str, Any]) -> api.Category:
     path = "categories[]."
     return api.Category(
         name=str(item.get("name", "")),
         effect=api.Effect(_need(item, "idempotency", path)),
-        aim=float(_need(item, "target", path)),
-        deadline=float(_need(item, "deadline", path)),
+        aim=float(_over_zero(item, "target", path)),
+        deadline=float(_over_zero(item, "deadline", path)),
         scope=api.Scope(item.get("dedup-scope") or "all"),
         ordered=bool(item.get("serial-by-key", False)),
         **_given(item, {"gain": "worth", "late-value": "late_share", "window": "window"}, float),
@@ -125,6 +134,8 @@
     allowed, extra, fees, rules, report = (
         _section(conf, name) for name in ("allowed", "extra", "fees", "rules", "report")
     )
+    if allowed.get("max-attempts") is not None:
+        _over_zero(allowed, "max-attempts", "allowed.")
     try:
         return api.Settings(
             categories=tuple(_category(item) for item in _need(conf, "categories", "")),
--- a/emberlatch/store/journal.py
+++ b/emberlatch/store/journal.py
@@ -23,6 +23,7 @@
 _MARK = b"\xe5EL1"
 _HEAD = struct.Struct("<4sII")
 _MAX_RECORD = MAX_BODY + 4096
+_NAMES = ("id", "key", "category", "tenant", "destination", "deadline")  # beside what changes
 _OVERHEAD = 1536  # room for a message's state beside its body: all its attempts and its end
 
 
@@ -51,6 +52,7 @@
     attempts: int = 0
     doubts: list[Doubt] = field(default_factory=list)
     notice: dict[str, Any] | None = None
+    terms: str = ""  # under which it was taken, as text; empty where an older journal does not tell
 
 
 class Store:
@@ -67,6 +69,9 @@
         self._sizes: dict[int, int] = {}  # segment -> bytes, oldest first
         self._home: dict[int, int] = {}  # message -> segment that holds its body
         self._entries: dict[int, Entry] = {}
+        self._terms: dict[str, int] = {}  # numbered; no number is given twice in a folder
+        self._numbers = 0
+        self._told: set[int] = set()  # terms that stand in the current segment
         self.clock: tuple[str, float] | None = None  # a run of the machine, and what its clock is behind
         self._live = 0
         self._current = 0
@@ -99,6 +104,10 @@
         if "clock" in state:
             self.clock = str(state["clock"][0]), float(state["clock"][1])
             return
+        if "is" in state:
+            self._terms[str(state["is"])] = number_of = int(state["terms"])
+            self._numbers = max(self._numbers, number_of)
+            return
         ref, whole = int(state["ref"]), "id" in state
         if state.get("over"):
             self._entries.pop(ref, None)
@@ -106,7 +115,9 @@
         elif whole or ref in self._entries:
             state["doubts"] = [Doubt(**doubt) for doubt in state["doubts"]]
             if whole:
-                self._entries[ref] = Entry(**state, body=body)
+                terms = state.pop("terms", None)
+                text = next((text for text, n in self._terms.items() if n == terms), "")
+                self._entries[ref] = Entry(**state, body=body, terms=text)
                 self._home[ref] = number
             else:
                 entry = self._entries[ref]
@@ -119,7 +130,7 @@
 
     def take(self, entry: Entry) -> None:
         """Record a message that is taken on."""
-        self._append(_whole(entry))
+        self._append(self._whole(entry), entry.terms)
         self._entries[entry.ref], self._home[entry.ref] = entry, self._current
         self._live += _weight(entry)
 
@@ -138,18 +149,21 @@
         """Close the segment that is being written."""
         self._files.close(self._fd)
 
-    def _append(self, record: bytes) -> None:
+    def _append(self, record: bytes, terms: str = "") -> None:
         for _ in range(len(self._sizes)):
             if sum(map(_on_disk, self._sizes.values())) + len(record) <= self._most:
                 break
             self._compact()
-        self._write(record)
+        self._write(record, terms)
 
-    def _write(self, record: bytes) -> None:
+    def _write(self, record: bytes, terms: str = "") -> None:
         if self._sizes[self._current] >= self._segment_size:
             self._roll()
         if not self._sizes[self._current] and self.clock is not None:
             self._put(_record({"clock": self.clock}))  # in each segment, for any may be the only one left
+        if terms and (number := self._number(terms)) not in self._told:  # once in each segment, as the clock
+            self._put(_record({"terms": number, "is": terms}))
+            self._told.add(number)
         self._put(record)
 
     def _put(self, record: bytes) -> None:
@@ -166,6 +180,19 @@
         if self._fd >= 0:
             self._files.close(self._fd)
         self._fd, self._current, self._sizes[number] = fd, number, 0
+        self._told.clear()
+        used = {entry.terms for entry in self._entries.values()}
+        self._terms = {text: n for text, n in self._terms.items() if text in used}
+
+    def _number(self, terms: str) -> int:
+        if terms not in self._terms:
+            self._numbers += 1
+            self._terms[terms] = self._numbers
+        return self._terms[terms]
+
+    def _whole(self, entry: Entry) -> bytes:
+        state = _state(entry) | {name: getattr(entry, name) for name in _NAMES}
+        return _record(state | ({"terms": self._number(entry.terms)} if entry.terms else {}), entry.body)
 
     def _compact(self) -> None:
         """Rewrite what is alive in the oldest segment and remove it.
@@ -176,7 +203,8 @@
         if oldest == self._current:
             self._roll()
         for ref in [ref for ref, home in self._home.items() if home == oldest]:
-            self._write(_whole(self._entries[ref]))
+            entry = self._entries[ref]
+            self._write(self._whole(entry), entry.terms)
             self._home[ref] = self._current
         self._files.remove(_name(oldest))
         del self._sizes[oldest]
@@ -204,11 +232,6 @@
     }
 
 
-def _whole(entry: Entry) -> bytes:
-    names = ("id", "key", "category", "tenant", "destination", "deadline")
-    return _record(_state(entry) | {name: getattr(entry, name) for name in names}, entry.body)
-
-
 def _record(state: dict[str, Any], body: bytes = b"") -> bytes:
     payload = json.dumps(state, separators=(",", ":")).encode() + b"\n" + body
     return _HEAD.pack(_MARK, len(payload), zlib.crc32(payload)) + payload
--- /dev/null
+++ b/tests/operations/test_settings.py
@@ -0,0 +1,266 @@
+"""New settings at SIGHUP: a file is taken whole or not at all, and messages keep the terms of their day."""
+
+from __future__ import annotations
+
+import copy
+import json
+import math
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from emberlatch import Forwarder
+from emberlatch.core import interface as api
+from emberlatch.core.interface import Effect, Scope
+from emberlatch.engine.terms import read, write
+from emberlatch.operations import lacking
+from emberlatch.platform import Config, ConfigError, read_config
+from emberlatch.platform import Platform as Node
+from emberlatch.store import Doubt, Entry, Folder, Store
+from tests.operations.test_address import figures, node, run, until
+from tests.peers import SETTINGS, accept, config, message_headers, request, silence
+from tests.world import CATEGORIES, make_settings
+
+
+def changed(document: dict[str, Any], **settings: Any) -> dict[str, Any]:
+    return document | {"settings": document["settings"] | settings}
+
+
+def with_classes(document: dict[str, Any], *classes: dict[str, Any]) -> dict[str, Any]:
+    return changed(document, categories=list(classes))
+
+
+def taken(folder: Path, document: dict[str, Any] | str) -> Config:
+    """Read a file as SIGHUP does."""
+    text = document if isinstance(document, str) else json.dumps(document)
+    (folder / "config.json").write_text(text)
+    return read_config({"EDGE_CONFIG": str(folder / "config.json"), "EDGE_STATE": str(folder)})
+
+
+GOOD = config("127.0.0.1:1", {"revision": 1, "complete": True, "members": []}, 1)
+PAYOUT, STATUS, ORDER = SETTINGS["categories"]
+
+
+def path_of(document: dict[str, Any], path: str) -> tuple[Any, str]:
+    *way, last = path.split(".")
+    for step in way:
+        document = document[int(step)] if isinstance(document, list) else document[step]
+    return document, last
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "settings",
+        "limits",
+        "limits.disk_mb",
+        "discovery",
+        "known",
+        "settings.allowed",
+        "settings.allowed.max-attempts",
+        "settings.categories",
+        "settings.categories.1.deadline",
+        "settings.categories.1.idempotency",
+        "settings.tenants.0.name",
+    ],
+)
+@pytest.mark.parametrize("how", ["gone", "null"])
+def test_a_file_that_lacks_a_key_is_turned_down(tmp_path: Path, path: str, how: str) -> None:
+    document = copy.deepcopy(GOOD)
+    section, last = path_of(document, path)
+    section[last] = None
+    if how == "gone":
+        del section[last]
+    name = path.rpartition(".")[2]
+    try:
+        new = taken(tmp_path, document)
+    except ConfigError as error:
+        assert name in str(error)
+        return
+    assert (lacking(GOOD, new.document) or "").endswith(name)
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "settings.categories.0.deadline",
+        "settings.categories.0.target",
+        "settings.allowed.max-attempts",
+    ],
+)
+@pytest.mark.parametrize("value", ["soon", "24", "", 0, -1, True, False, [], {}, math.nan, math.inf, [24]])
+def test_what_is_no_number_over_0_is_turned_down_by_its_key(tmp_path: Path, path: str, value: Any) -> None:
+    document = copy.deepcopy(GOOD)
+    section, last = path_of(document, path)
+    section[last] = value
+    with pytest.raises(ConfigError, match=last):
+        taken(tmp_path, document)
+
+
+def test_a_file_cut_at_any_byte_is_turned_down(tmp_path: Path) -> None:
+    text = json.dumps(GOOD)
+    for end in range(len(text)):
+        with pytest.raises(ConfigError):
+            taken(tmp_path, text[:end])
+    assert lacking(GOOD, taken(tmp_path, text).document) is None
+
+
+def test_a_class_may_lack_what_not_all_classes_had(tmp_path: Path) -> None:
+    new = taken(tmp_path, with_classes(GOOD, STATUS, ORDER, ORDER | {"name": "order-2"}))
+    assert lacking(GOOD, new.document) is None
+
+
+def test_terms_come_back_from_their_text() -> None:
+    for category in CATEGORIES:
+        terms = api.Terms(category, 3)
+        assert read(write(terms)) == terms
+
+
+def test_a_class_comes_and_goes_while_messages_of_it_wait(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path, silence) as (port, operators, target, under_test):
+            first = under_test._document
+            assert isinstance(first, dict)
+
+            def reload(document: dict[str, Any]) -> None:
+                new = taken(tmp_path / "state", document)
+                under_test.check(new)
+                under_test.reload(new)
+
+            async def hand_in(name: str, category: str, **headers: str) -> int:
+                told = message_headers(name, X_Priority_Class=category, **headers)
+                return (await request(port, "POST", "/api", told, b"x"))[0]
+
+            assert await hand_in("m0", "payout-2", Idempotency_Key="k") == 400
+            reload(with_classes(first, PAYOUT, STATUS, PAYOUT | {"name": "payout-2"}))
+            assert await hand_in("m1", "payout-2", Idempotency_Key="k", X_Timeout_Ms="900") == 202
+            await target.next()  # it is out, and is not answered
+            reload(with_classes(first, STATUS))
+            assert await hand_in("m2", "payout-2", Idempotency_Key="k") == 400
+            told = await figures(operators)  # in the turn in which the class has gone
+            assert told["concurrent"] == 1 and told["reload_success"] == 2
+            told = await until(operators, {"concurrent": 0, "error.payout-2": 1})
+            assert told["success.status-update"] == 0
+            target.handler = accept
+            assert await hand_in("m3", "status-update") == 202
+            await until(operators, {"success.status-update": 1})
+
+    run(test)
+
+
+def test_what_is_turned_down_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with node(tmp_path) as (port, _, _, under_test):
+            first = under_test._document
+            assert isinstance(first, dict)
+            bad = with_classes(first, STATUS)
+            del bad["limits"]
+            with pytest.raises(ConfigError, match="limits"):
+                taken(tmp_path / "state", bad)
+            lacks = changed(with_classes(first, STATUS), rules={})
+            with pytest.raises(ConfigError, match=r"settings\.rules"):
+                under_test.check(taken(tmp_path / "state", lacks))
+            told = message_headers("m1", X_Priority_Class="payout", Idempotency_Key="k")
+            assert (await request(port, "POST", "/api", told, b"x"))[0] == 202
+
+    run(test)
+
+
+LISTED = api.DirectoryUpdate(api.ListKind.CACHED, 1, (api.Entry(b"e", 0), api.Entry(b"w", 0, zone=1)))
+
+
+def sent(actions: list[api.Action]) -> list[api.Target]:
+    return [action.target for action in actions if isinstance(action, api.Send)]
+
+
+def test_a_message_keeps_the_effect_under_which_it_was_taken() -> None:
+    """Keyed within a zone yesterday, safe today: no repeat of it leaves that zone."""
+    settings = make_settings(separate=True)
+    safe = tuple(replace(c, effect=Effect.SAFE, scope=Scope.ALL) for c in CATEGORIES)
+    for seed in range(20):
+        forwarder = Forwarder(settings, seed)
+        (first,) = sent(forwarder.handle(0.0, [LISTED, api.Arrival(1, 2, 0, 6.0)]))
+        lost = api.Outcome(1, 0, first, api.Result.RESET, 0.1)
+        new = api.NewSettings(replace(settings, categories=safe))
+        actions = forwarder.handle(0.1, [new, lost, api.Arrival(2, 2, 0, 6.0)])
+        again = [a.target for a in actions if isinstance(a, api.Send) and a.ref == 1]
+        assert again in ([], [first])
+
+
+def test_a_message_keeps_its_number_of_attempts() -> None:
+    settings = make_settings(separate=True)
+    forwarder = Forwarder(settings, 1)
+    (target,) = sent(forwarder.handle(0.0, [LISTED, api.Arrival(1, 0, 0, 4.0)]))
+    fewer = api.NewSettings(replace(settings, max_attempts=1))
+    lost = api.Outcome(1, 0, target, api.Result.RESET, 0.1)
+    assert sent(forwarder.handle(0.1, [fewer, lost]))  # six were allowed when it was taken
+    forwarder = Forwarder(settings, 1)
+    (target,) = sent(forwarder.handle(0.2, [LISTED, fewer, api.Arrival(2, 0, 0, 4.0)]))
+    actions = forwarder.handle(0.3, [api.Outcome(2, 0, target, api.Result.RESET, 0.1)])
+    assert any(isinstance(a, api.Refuse) and a.ref == 2 for a in actions)
+
+
+def test_slots_change_without_losing_count_of_those_in_use() -> None:
+    settings = make_settings(separate=True, slots=6)
+    forwarder = Forwarder(settings, 1)
+    (target,) = sent(forwarder.handle(0.0, [LISTED, api.Arrival(1, 0, 0, 4.0)]))
+    forwarder.handle(0.1, [api.NewSettings(replace(settings, slots=2))])
+    assert forwarder.free == 1 and forwarder.sick_cap == 1
+    forwarder.handle(0.2, [api.Outcome(1, 0, target, api.Result.OK, 0.1, closed=True)])
+    assert forwarder.free == 2
+
+
+def entry(ref: int, terms: str) -> Entry:
+    return Entry(
+        ref, f"m{ref}", "k", "payout", "acme", 7, 1e9, b"x" * 200, 1, [Doubt(0, "s", 0, 1.0)], terms=terms
+    )
+
+
+def test_the_journal_holds_terms_once_in_a_segment_and_through_compaction(tmp_path: Path) -> None:
+    store = Store(Folder(tmp_path), 400_000)
+    store.load()
+    old, new = write(api.Terms(CATEGORIES[2], 6)), write(api.Terms(CATEGORIES[3], 2))
+    kept = [entry(1, old), entry(2, new)]
+    for each in kept:
+        store.take(each)
+    (path,) = tmp_path.iterdir()
+    store.take(entry(3, old))
+    assert path.read_bytes().count(b'"is":') == 2
+    for ref in range(4, 3000):  # until the first segments have been compacted away
+        passing = entry(ref, new)
+        store.take(passing)
+        store.forget(passing)
+    assert not path.exists()
+    again = {e.ref: e for e in Store(Folder(tmp_path), 400_000).load()}
+    assert [again[e.ref] for e in kept] == kept
+
+
+def test_a_class_dropped_and_added_again_with_another_effect_does_not_free_old_messages(
+    tmp_path: Path,
+) -> None:
+    """Taken keyed, out in doubt, then the class is safe; after a kill the message is keyed still."""
+    terms = api.Terms(CATEGORIES[2], 6)
+    store = Store(Folder(tmp_path), 3_000_000)
+    store.load()
+    store.take(entry(1, write(terms)))
+    (found,) = Store(Folder(tmp_path), 3_000_000).load()
+    assert read(found.terms) == terms
+
+
+def test_a_journal_of_before_is_read_with_the_classes_of_now(tmp_path: Path) -> None:
+    async def test() -> None:
+        store = Store(Folder(tmp_path), 3_000_000)
+        store.load()
+        store.take(entry(1, ""))
+        store.close()
+        assert b'"terms"' not in next(tmp_path.iterdir()).read_bytes()
+        document = taken(tmp_path, GOOD)
+        under_test = Node(document)
+        (found,) = under_test.store.load()
+        terms = under_test.engine._terms_of(found)
+        assert terms is not None and (terms.category.name, terms.max_attempts) == ("payout", 6)
+        under_test.tasks.cancel()
+
+    run(test)
