One process takes over from another under load: lock, state, calls and connections

Change: emberlatch/takeover. Calls that are out stay with the predecessor, whose outcomes come over the link; they hold leases and slots in the successor.

--- a/emberlatch/core/interface.py
+++ b/emberlatch/core/interface.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from typing import Any
 
 Target = bytes
 """An endpoint, named by an opaque value that the caller chooses."""
@@ -250,6 +252,18 @@
     attempts: int = 0
     doubts: tuple[Doubt, ...] = ()
     terms: Terms | None = None
+    lent: bool = False  # its last attempt is out with the process before this one, and is no doubt
+
+
+@dataclass(frozen=True, slots=True)
+class TakenOver:
+    """This forwarder goes on where another process stopped: what that one's `carry` gave.
+
+    It comes behind the list and the messages that were recovered, in the same turn. The calls that it tells
+    are out still, and their outcomes will come as if they had been sent from here.
+    """
+
+    state: Mapping[str, Any]
 
 
 @dataclass(frozen=True, slots=True)
@@ -347,6 +361,7 @@
 Event = (
     Arrival
     | Recovered
+    | TakenOver
     | NewSettings
     | Stopping
     | Opened
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -9,9 +9,10 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
+from emberlatch.core import handover
 from emberlatch.core import interface as api
 from emberlatch.core.interface import Effect, ListKind, Phase, Result, Scope
 from emberlatch.core.records import Agenda, Call, Endpoint, Lines, Message, Pool, Route
@@ -41,6 +42,7 @@
 STOP_ROOM = 3.0  # usual latencies that a call is given to end before the forwarder does
 LASTS = 1 / 3  # of its age an outage is expected to last on; all of it refuses too much of what comes in time
 QUICK = ("", "full", "error", "reset", "connect_failed")  # signs of trouble that cost a call next to no time
+CARRIED = ("crowd", "room", "refused", "came_back")  # what is learnt of all destinations together
 STALL, NOTES = 0.2, 60  # a timer so late says that we stood still ourselves; log lines in one life
 
 
@@ -72,6 +74,7 @@
             api.Arrival: self._arrive, api.Recovered: self._recover, api.Outcome: self._outcome,
             api.ProbeResult: self._probed, api.DirectoryUpdate: self._directory,
             api.DirectoryMoved: self._moved, api.NewSettings: self._retune,
+            api.TakenOver: self._take_over,
             api.ClientGone: lambda event: self._close(event.ref), api.Stopping: self._stop,
         }  # fmt: skip
 
@@ -146,9 +149,48 @@
         message = self._take(arrival, event.terms or now)
         message.returned, message.attempts = True, event.attempts
         message.doubts = [(self.now - doubt.age, doubt.target, doubt.zone) for doubt in event.doubts]
-        if message.doubts and not self._has_way(message):
+        if message.doubts and not event.lent and not self._has_way(message):
             self._end(message)
 
+    def carry(self) -> dict[str, Any]:
+        """What a process that follows this one needs to go on, as plain values."""
+        return {
+            "pools": handover.pools(self.pools),
+            "messages": handover.messages(self.open),
+            "calls": list(handover.calls(self.calls)),
+            "short_until": list(self.short_until.items()),
+        } | handover.take(self, CARRIED)
+
+    def _take_over(self, event: api.TakenOver) -> None:
+        """Go on as the one before: its calls that are out hold leases and slots here."""
+        state = event.state
+        for told in state["messages"]:
+            if (message := self.open.get(told["ref"])) is not None:
+                handover.give(message, handover.MESSAGE, told)
+        for told in state["calls"]:
+            out = [(self.open[ref], attempt) for ref, attempt in told["messages"] if ref in self.open]
+            if not out:
+                continue
+            call = Call(self._end_of_call(told), told["sent"], told["trial"])
+            call.judged, self.free = told["judged"], self.free - 1
+            for message, attempt in out:
+                message.attempts = attempt
+                self.calls[message.ref, attempt] = call
+                call.add(message)
+                self.lines.sent(message)
+        handover.resume_pools(state["pools"], self.pools, self.endpoints)
+        self.short_until = dict(state["short_until"])
+        handover.give(self, CARRIED, state)
+
+    def _end_of_call(self, told: Mapping[str, Any]) -> Endpoint:
+        """Where a call went; a target that has left the list since is there until the call is back."""
+        target = str(told["target"]).encode()
+        if target not in self.endpoints:
+            entry = api.Entry(target, told["destination"], Phase.GONE, told["kind"], told["zone"])
+            endpoint = self.leaving[target] = self._add(entry)
+            endpoint.ready, endpoint.gone = False, True
+        return self.endpoints[target]
+
     def _retune(self, event: api.NewSettings) -> None:
         """Messages have their terms; what is asked of the whole forwarder changes at once."""
         self.free += event.settings.slots - self.settings.slots
--- a/emberlatch/engine/__init__.py
+++ b/emberlatch/engine/__init__.py
@@ -14,6 +14,7 @@
     Membership,
     Notice,
     Submission,
+    Taken,
 )
 from emberlatch.engine.tally import Tally
 from emberlatch.engine.tasks import Tasks
@@ -34,6 +35,7 @@
     "Membership",
     "Notice",
     "Submission",
+    "Taken",
     "Tally",
     "Tasks",
 ]
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -24,6 +24,7 @@
     Membership,
     Notice,
     Submission,
+    Taken,
 )
 from emberlatch.engine.tally import Tally
 from emberlatch.engine.tasks import Tasks
@@ -38,6 +39,7 @@
 # Seconds before its time is up at which a message ends for us. A process that is short of its core, most of
 # all one that has just started, learns late what time it is: seen were up to 0.6 s, and 0.3 s late is lost.
 END_MARGIN = 0.25
+MOST_TURNS = 5  # at the end of one life: what a turn brings by itself is seen to in the next
 NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT)
 
 
@@ -70,6 +72,8 @@
         self._turn_due = False
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
+        self._frozen: list[Callable[[], None]] | None = None  # what comes while another may own the journal
+        self._lent: dict[tuple[int, int], bytes] = {}  # attempts that the process before this one carries
 
     def _use(self, settings: api.Settings) -> None:
         # The platform has no probes beside calls, so the module must not wait for one.
@@ -88,10 +92,13 @@
         """Put the seams in their places, once, before the start."""
         self._fronts, self._carrier, self._membership, self._end = fronts, carrier, membership, end
 
-    async def start(self) -> None:
-        """Read the journal, go on with what it holds, then listen."""
+    async def start(self, taken: Taken | None = None) -> None:
+        """Read the journal, go on with what it and the process before us (`taken`) tell, then listen."""
         self._membership.start()
         entries = self._store.load()
+        if taken is not None:
+            taken.have()  # nothing is written before this
+            self._lent = {(ref, attempt): target for ref, attempt, target in taken.lent}
         self._offset = self._clock()
         now = self._wall()
         for entry in entries:
@@ -102,6 +109,8 @@
                 self._recover(entry, now)
         self._refs = itertools.count(max([int(now * 1000), *(entry.ref + 1 for entry in entries)]))
         log.info("journal read: %d messages held, %d notices owed", len(self._held), len(self._ended))
+        if taken is not None:
+            self._happened(api.TakenOver(taken.module))
         self._turn()
         for front in self._fronts:
             front.start()
@@ -134,6 +143,7 @@
         # the process stays to answer it.
         while (now := self._loop.time()) < began + GONE_AFTER and (
             self._carrier.out
+            or self._lent
             or self._end.pending
             or any(front.has_clients for front in self._fronts)
             or (self._held and now < began + CALLS_END)
@@ -185,8 +195,13 @@
             self._tenants.get(entry.tenant, 0),
             orphan=True,
         )
-        doubts = tuple(api.Doubt(d.target.encode(), d.zone, now - d.sent) for d in entry.doubts)
-        self._happened(api.Recovered(arrival, entry.attempts, doubts, terms))
+        doubts = tuple(
+            api.Doubt(d.target.encode(), d.zone, now - d.sent)
+            for d in entry.doubts
+            if (entry.ref, d.attempt) not in self._lent
+        )
+        lent = (entry.ref, entry.attempts - 1) in self._lent
+        self._happened(api.Recovered(arrival, entry.attempts - lent, doubts, terms, lent))
 
     def _terms_of(self, entry: Entry) -> api.Terms | None:
         """The terms of a message; of one without, those of its class now; None if there is no such class."""
@@ -252,10 +267,52 @@
             raise BadMessageError("idempotency-key is missing")
         return number
 
+    # Another process follows this one.
+
+    def freeze(self) -> dict[str, Any]:
+        """End the turn, write and decide no more, and give what the next process needs to go on."""
+        for _ in range(MOST_TURNS):
+            if not (self._events or self._arriving):
+                break
+            self._turn()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._frozen = []
+        self._store.close()
+        return self._forwarder.carry()
+
+    def thaw(self) -> None:
+        """Nobody has followed: go on, with what has come since."""
+        self._store.reopen()
+        late, self._frozen = self._frozen or [], None
+        for what in late:
+            what()
+        self._happened(api.TimerFired(0))  # the module's own timer is not set
+
+    def leave(self) -> None:
+        """Another process owns the messages now."""
+        self._frozen = []
+        self._held.clear()
+        self._ended.clear()
+
+    def _put_off(self, what: Callable[[], None]) -> bool:
+        """Whether it has to wait until it is known who owns the journal."""
+        if self._frozen is not None:
+            self._frozen.append(what)
+        return self._frozen is not None
+
+    def borrower_gone(self) -> None:
+        """The process that carries our calls can tell no more: those without an outcome may have run."""
+        for (ref, attempt), target in list(self._lent.items()):
+            self.outcome(api.Outcome(ref, attempt, target, api.Result.RESET, 0.0))
+
     # What calls, discovery and notices bring.
 
     def outcome(self, outcome: api.Outcome) -> None:
         """An attempt is back; what it says of the message is on disk before the module hears of it."""
+        if self._put_off(lambda: self.outcome(outcome)):
+            return
+        self._lent.pop((outcome.ref, outcome.attempt), None)
         entry = self._held.get(outcome.ref)
         self.tally.at(outcome.target, outcome.result.name.lower())
         if entry is not None and outcome.closed:
@@ -280,6 +337,8 @@
 
     def listed(self, update: api.DirectoryUpdate, addresses: Addresses) -> None:
         """Membership tells of endpoints."""
+        if self._put_off(lambda: self.listed(update, addresses)):
+            return
         self._destinations.update(entry.destination for entry in update.entries)
         whole = update.kind in (api.ListKind.CACHED, api.ListKind.FULL)
         self._carrier.update(update.entries, addresses, whole)
@@ -287,6 +346,8 @@
 
     def confirmed(self, refs: list[int]) -> None:
         """These ends have been heard: nothing more is owed."""
+        if self._put_off(lambda: self.confirmed(refs)):
+            return
         for ref in refs:
             if (entry := self._ended.pop(ref, None)) is not None:
                 self._journal(self._store.forget, entry)
@@ -295,12 +356,14 @@
 
     def _happened(self, event: api.Event) -> None:
         self._events.append(event)
-        if not self._turn_due:
+        if not self._turn_due and self._frozen is None:
             self._turn_due = True
             self._loop.call_soon(self._turn)
 
     def _turn(self) -> None:
         self._turn_due = False
+        if self._frozen is not None:
+            return
         events, self._events = self._events, []
         arriving, self._arriving = self._arriving, {}
         self._arriving_ids.clear()
--- a/emberlatch/engine/seams.py
+++ b/emberlatch/engine/seams.py
@@ -63,6 +63,21 @@
         """It has failed, with no promise."""
 
 
+class Taken(Protocol):
+    """What a process gave to the one that follows it."""
+
+    @property
+    def module(self) -> Mapping[str, Any]:
+        """What the decision module had learnt (`Forwarder.carry`)."""
+
+    @property
+    def lent(self) -> Sequence[tuple[int, int, Target]]:
+        """Message, attempt and target of each attempt that is out with the process before."""
+
+    def have(self) -> None:
+        """Tell it that this one owns the messages from now on."""
+
+
 class Front(Protocol):
     """Where messages come in. It calls `Engine.submit` for each."""
 
--- a/emberlatch/faults/world.py
+++ b/emberlatch/faults/world.py
@@ -209,6 +209,7 @@
         world = self.world
         known = self.known = self.known or world.directory.document()
         config = Config(
+            name=self.name,
             listen=self.address,
             discovery=parse_address(world.service.address),
             operators=None,
--- a/emberlatch/net/accept.py
+++ b/emberlatch/net/accept.py
@@ -25,10 +25,11 @@
         self._listener: Listener | None = listener
         self._factory, self._tasks = factory, tasks
         self.coming = 0  # accepted, and no protocol yet
+        self._paused = False
         self._listen()
 
     def _listen(self) -> None:
-        if self._listener is not None:
+        if self._listener is not None and not self._paused:
             asyncio.get_running_loop().add_reader(self._listener, self._accept)
 
     def _accept(self) -> None:
@@ -44,19 +45,30 @@
                 loop.remove_reader(listener)
                 loop.call_later(PAUSE, self._listen)
                 return
-            accepted.setblocking(False)
-            self.coming += 1
-            self._tasks.spawn(self._take(accepted))
+            self.adopt(accepted, self._factory)
+
+    def adopt(self, accepted: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
+        """Make a protocol of a connection that was accepted, here or by another process."""
+        accepted.setblocking(False)
+        self.coming += 1
+        self._tasks.spawn(self._take(accepted, factory))
 
-    async def _take(self, accepted: socket.socket) -> None:
+    async def _take(self, accepted: socket.socket, factory: Callable[[], asyncio.Protocol]) -> None:
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(self._factory, accepted)
+            await asyncio.get_running_loop().connect_accepted_socket(factory, accepted)
         except OSError as error:
             log.info("client lost: %s", error)
             accepted.close()
         finally:
             self.coming -= 1
 
+    def pause(self, active: bool) -> None:
+        """Accept nobody for now: who connects waits; or go on."""
+        if self._listener is not None:
+            self._paused = active
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listen()
+
     def close(self) -> None:
         """Accept no more."""
         if self._listener is not None:
--- a/emberlatch/net/directory.py
+++ b/emberlatch/net/directory.py
@@ -66,6 +66,36 @@
         if self._pushed:
             self.watch(True)
 
+    def go_on_from(self, known: Mapping[str, Any]) -> None:
+        """Start from this list in place of the one that came with the configuration."""
+        self._known = known
+
+    def close(self) -> None:
+        """Ask no more: another process does."""
+        self._client.watch(False)
+        for call in self._calls.values():
+            call.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._keep(None)
+
+    def document(self, listed: Sequence[tuple[Entry, Address]]) -> dict[str, Any]:
+        """A list in the form in which it came, for another process to start from."""
+        names = {phase: name for name, phase in PHASES.items()}
+        members = [
+            {
+                "id": entry.target.decode(),
+                "host_port": f"{host}:{port}",
+                "locality": _name(self._zones, entry.zone),
+                "flavor": _name(self._kinds, entry.kind),
+                "cell": entry.destination,
+                "phase": names[entry.phase],
+                "size": entry.weight,
+            }
+            for entry, (host, port) in listed
+        ]
+        return {"revision": self._client.revision or 0, "complete": True, "members": members}
+
     def watch(self, active: bool) -> None:
         """Begin to watch, or go on; or stop after the present call."""
         self._client.watch(active)
@@ -216,6 +246,10 @@
     return number
 
 
+def _name(names: Sequence[str], index: int) -> str | None:
+    return names[index] if index < len(names) else None
+
+
 def _index(names: Sequence[str], name: object) -> int:
     """The number of a name; one that the settings lack gets a number of no meaning."""
     return names.index(name) if isinstance(name, str) and name in names else len(names)
--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -92,6 +92,11 @@
             self.close()
         return not self.closed
 
+    @property
+    def descriptor(self) -> int:
+        """That of its socket."""
+        return int(self._transport.get_extra_info("socket").fileno())
+
     def close(self) -> None:
         """End the connection at once, whatever is out on it."""
         self.closed = True
--- a/emberlatch/net/notices.py
+++ b/emberlatch/net/notices.py
@@ -51,6 +51,12 @@
         self._platform, self._connection = platform, None
         self._running = self._tasks.spawn(self._run())
 
+    def close(self) -> None:
+        """Tell no more: another process does."""
+        self._running.cancel()
+        if self._connection is not None:
+            self._connection.close()
+
     @property
     def pending(self) -> bool:
         """Whether any is not confirmed yet."""
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
+import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
@@ -66,6 +67,16 @@
     headed: bool = False  # all headers are there
 
 
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """An open connection that another process can go on with: its descriptor, what has been read of a request
+    that is not whole, and whether it has brought a sound one."""
+
+    descriptor: int
+    data: bytes
+    proven: bool
+
+
 class Reply:
     """The place of one answer: a connection's answers leave in the order of its requests."""
 
@@ -110,7 +121,7 @@
         machine: Machine = REAL,
     ) -> None:
         self.submit, self.asked = submit, asked
-        self.stopping = self.draining = False
+        self.stopping = self.draining = self.held = False
         self._address, self._most, self._tasks, self._machine = address, most_clients, tasks, machine
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
         self._proven: dict[Client, None] = {}  # the longest unused first
@@ -138,7 +149,7 @@
         return self.stopping or self.draining
 
     def _empty(self) -> None:
-        for client in [*self._strangers, *self._proven]:
+        for client in self._all():
             client.close_if_idle()
 
     def close_listener(self) -> None:
@@ -147,6 +158,51 @@
             self._acceptor.close()
             self._acceptor = None
 
+    # Another process follows this one.
+
+    async def hold(self) -> None:
+        """Accept nobody and read nothing: what has come waits in the sockets."""
+        self.held = True
+        if self._acceptor is not None:
+            self._acceptor.pause(True)
+        for client in self._all():
+            client.hold(True)
+        while self._acceptor is not None and self._acceptor.coming:
+            await asyncio.sleep(0)
+
+    def unhold(self) -> None:
+        """Go on as before."""
+        self.held = False
+        if self._acceptor is not None:
+            self._acceptor.pause(False)
+        for client in self._all():
+            client.hold(False)
+
+    def give(self) -> Iterator[Kept]:
+        """The connections that another process can go on with; each is let go once the next is asked for."""
+        for client in self._all():
+            if (kept := client.keep()) is not None:
+                yield kept
+                self.left(client)
+                client.transport.abort()  # the descriptor that was handed over stays open
+
+    def adopt(self, connection: socket.socket, data: bytes, proven: bool) -> None:
+        """Go on with a connection of the process before this one."""
+        assert self._acceptor is not None
+        self._acceptor.adopt(connection, lambda: Client(self, data, proven))
+
+    def leave(self) -> None:
+        """Another process serves: who is left here is refused, which does no harm, and sent away."""
+        self.stopping, self.held = True, False
+        self.submit = lambda _, reply: reply.send(503)
+        self.close_listener()
+        for client in self._all():
+            client.hold(False)
+        self._empty()
+
+    def _all(self) -> list[Client]:
+        return [*self._strangers, *self._proven]
+
     @property
     def has_clients(self) -> bool:
         """Whether any connection is open."""
@@ -194,8 +250,11 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, server: Server) -> None:
-        self.server = server
+    def __init__(self, server: Server, data: bytes = b"", proven: bool = False) -> None:
+        """`data` is what another process has read of a request; `proven` that it has answered a sound one."""
+        self.server, self._first, self._proven = server, data, proven
+        self._head: bytes | None = b""  # what has come of a head that is not whole; None if that is not known
+        self._whole = False  # a request became whole in the present piece of data
         self._parser = httptools.HttpRequestParser(self)
         self._request: Request | None = None
         self._replies: deque[Reply] = deque()
@@ -216,6 +275,12 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport, self._since = transport, asyncio.get_running_loop().time()
         self.server.joined(self)
+        if self._proven:
+            self.server.proved(self)
+        if self._first:
+            self.data_received(self._first)
+        if self.server.held:
+            self.hold(True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.left(self)
@@ -230,7 +295,17 @@
 
     def resume_writing(self) -> None:
         self._unread = False
-        if not self._failed:
+        self._read_on()
+
+    def hold(self, active: bool) -> None:
+        """Read nothing for now, or go on."""
+        if active:
+            self.transport.pause_reading()
+        else:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        if not (self._failed or self._unread or self.server.held):
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -239,8 +314,10 @@
                 self._feed(data[at : at + MAX_HEAD])
 
     def _feed(self, data: bytes) -> None:
+        self._whole = False
         try:
             self._parser.feed_data(data)
+            self._remember(data)
             if self._request is not None and not self._request.headed:
                 self._head_size += len(data)
                 if self._head_size > MAX_HEAD:
@@ -248,6 +325,38 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._refuse(self._status)
 
+    def _remember(self, data: bytes) -> None:
+        """Keep what has come of a head: the parser has it, and does not give it back."""
+        if self._request is None or self._request.headed:
+            self._head = b""
+        elif self._whole:  # it began somewhere in this piece
+            self._head = None
+        elif self._head is not None:
+            self._head += data
+
+    def keep(self) -> Kept | None:
+        """What another process needs to go on with this connection; None where it could not."""
+        transport, request = self.transport, self._request
+        busy = self._replies or self._failed or self._ended or self._unread
+        if busy or transport.is_closing() or transport.get_write_buffer_size():
+            return None
+        data = self._head if request is None or not request.headed else self._rebuilt(request)
+        proven = self in self.server._proven
+        return None if data is None else Kept(transport.get_extra_info("socket").fileno(), data, proven)
+
+    def _rebuilt(self, request: Request) -> bytes | None:
+        """The bytes of a request whose head is whole and whose body is not."""
+        if "transfer-encoding" in request.headers:
+            return None
+        headers = {name: value for name, value in request.headers.items() if name != "expect"}
+        method, path, version = (
+            request.method.decode(),
+            request.path.decode("latin-1"),
+            self._parser.get_http_version(),
+        )
+        lines = [f"{method} {path} HTTP/{version}", *(f"{k}: {v}" for k, v in headers.items()), "", ""]
+        return "\r\n".join(lines).encode("latin-1") + request.body
+
     def _refuse(self, status: int) -> None:
         """Answer what can't be read, after what came before it; nothing behind it is looked at."""
         self._failed, self._request = True, None
@@ -326,7 +435,7 @@
         self._request.body += body
 
     def on_message_complete(self) -> None:
-        request, self._request = self._request, None
+        request, self._request, self._whole = self._request, None, True
         assert request is not None
         reply = self._reserve(self._parser.should_keep_alive())
         path = request.path.partition(b"?")[0]
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -5,13 +5,15 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Iterator, Sequence
+import socket
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from emberlatch.core.interface import Entry, Outcome, Phase, Result, Settings
 from emberlatch.engine import Address, Addresses, Item, Tally, Tasks
 from emberlatch.net.http import BrokenError, Connection, Response, connect
+from emberlatch.store import MAX_BODY
 
 log = logging.getLogger(__name__)
 
@@ -115,13 +117,58 @@
 
     def call(self, target: bytes, items: list[Item]) -> None:
         """Start a call."""
-        call, known = _Call(target, items, self._report), self._targets.get(target)
+        call, known = _Call(target, items, lambda outcome: self._report(outcome)), self._targets.get(target)
         if known is None:
             return call.settle_all(Result.MOOT)
         self._out += 1
         known.out += 1
         self._tasks.spawn(self._run(known, call))
 
+    # Another process follows this one.
+
+    def waits(self) -> list[tuple[str | int, float]]:
+        """Told waits: what each binds, and until when."""
+        return [(b.decode() if isinstance(b, bytes) else b, until) for b, until in self._waits.items()]
+
+    def told(self, waits: Iterable[tuple[str | int, float]]) -> None:
+        """Keep waits that another process was told."""
+        for bound, until in waits:
+            name = bound.encode() if isinstance(bound, str) else int(bound)
+            self._waits[name] = max(float(until), self._waits.get(name, -math.inf))
+
+    def told_by(self, target: bytes, hold: float) -> None:
+        """Keep a wait that a target told another process just now."""
+        if (known := self._targets.get(target)) is not None:
+            self._hold(known, hold)
+
+    def report_to(self, report: Callable[[Outcome], None]) -> None:
+        """Outcomes go elsewhere from now on, those of calls that are out too."""
+        self._report = report
+
+    def addresses(self) -> list[tuple[Entry, Address]]:
+        """What is listed now, and where it is."""
+        return [(known.entry, known.address) for known in self._targets.values() if not known.gone]
+
+    def give(self) -> Iterator[tuple[bytes, int]]:
+        """The idle connections, by target and descriptor; each is let go once the next is asked for."""
+        for name, known in self._targets.items():
+            while known.idle:
+                connection = self._take_idle(known)
+                if connection.usable:
+                    yield name, connection.descriptor
+                connection.close()
+
+    async def adopt(self, target: bytes, connection: socket.socket) -> None:
+        """Go on with an idle connection of the process before this one."""
+        connection.setblocking(False)
+        _, protocol = await asyncio.get_running_loop().create_connection(
+            lambda: Connection(MAX_BODY), sock=connection
+        )
+        if (known := self._targets.get(target)) is not None and len(self._used) + self._out < self._most:
+            self._keep(known, protocol)
+        else:
+            protocol.close()
+
     def close_idle(self, target: bytes) -> None:
         """Close the idle connections to a target."""
         known = self._targets.get(target)
@@ -182,8 +229,7 @@
         hold = _seconds(response.headers.get("retry-after"))
         report = tuple(_report(response.headers.get("x-server-load", ""), self._settings.report_fields))
         if hold > 0:
-            bound, until = self._bound(target), asyncio.get_running_loop().time() + hold
-            self._waits[bound] = max(until, self._waits.get(bound, -math.inf))
+            self._hold(target, hold)
         if response.status == 200 and len(call.items) > 1:
             ends = dict(_ends(response.body))
             for item in list(call.pending):
@@ -200,6 +246,10 @@
             log.warning("target %r answered %d", call.target, response.status)
         call.settle_all(result, closed, hold, report)
 
+    def _hold(self, target: _Target, seconds: float) -> None:
+        bound, until = self._bound(target), asyncio.get_running_loop().time() + seconds
+        self._waits[bound] = max(until, self._waits.get(bound, -math.inf))
+
     def _bound(self, target: _Target) -> bytes | int:
         """What a wait told by a target binds: itself, where routes are apart, else its destination."""
         kind = target.entry.kind
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -5,7 +5,8 @@
 import json
 import logging
 import os
-from collections.abc import Mapping
+import socket
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -22,6 +23,7 @@
 from emberlatch.operations import PLACES, Call, Operators, figures, lacking, merged
 from emberlatch.simlink import wire
 from emberlatch.store import Store
+from emberlatch.takeover import Taken
 
 log = logging.getLogger(__name__)
 
@@ -36,6 +38,7 @@
 class Config:
     """What a forwarder is told at its start."""
 
+    name: str
     listen: Address
     discovery: Address
     operators: Address | None
@@ -114,6 +117,7 @@
     except wire.WireError as error:
         raise ConfigError(str(error)) from error
     return Config(
+        name=str(document.get("name", "")),
         listen=_address(document, "listen"),
         discovery=_address(document, "discovery"),
         operators=operators,
@@ -167,15 +171,23 @@
             b"/ops/drain/stop": Call(b"POST", lambda: self._drain(False)),
         }
 
-    async def start(self) -> None:
-        """Listen for operators, go on with what the journal holds, then listen for clients."""
+    def open(self) -> None:
+        """Listen for operators: they are told that the forwarder starts."""
         if self.operators is not None:
             try:
                 self.operators.start()
             except OSError as error:
                 raise ConfigError(f"ops: {error}") from error
-        await self.engine.start()
+
+    async def start(self, taken: Taken | None = None) -> None:
+        """Go on with what the journal and the process before (`taken`) tell, then listen for clients."""
+        if taken is not None:
+            self.directory.go_on_from(taken.known)
+            self.targets.told(taken.waits)
+        await self.engine.start(taken)
         self._serving = True
+        if taken is not None:
+            self.tasks.spawn(taken.follow(self))
 
     async def stop(self) -> None:
         """End what can end in time and leave the rest to the journal."""
@@ -183,6 +195,60 @@
         if self.operators is not None:
             self.operators.close()
 
+    # Giving way to another process (`takeover.Process`).
+
+    async def hold(self) -> None:
+        await self.server.hold()
+
+    def freeze(self, report: Callable[[api.Outcome], None]) -> dict[str, Any]:
+        module = self.engine.freeze()
+        self.targets.report_to(report)
+        known = self.directory.document(self.targets.addresses())
+        return {"module": module, "waits": self.targets.waits(), "known": known}
+
+    def thaw(self) -> None:
+        self.targets.report_to(self.engine.outcome)
+        self.engine.thaw()
+        self.server.unhold()
+
+    def clients(self) -> Iterator[tuple[int, dict[str, Any]]]:
+        for kept in self.server.give():
+            yield kept.descriptor, {"data": kept.data.decode("latin-1"), "proven": kept.proven}
+
+    def connections(self) -> Iterator[tuple[int, str]]:
+        for target, descriptor in self.targets.give():
+            yield descriptor, target.decode()
+
+    def leave(self) -> None:
+        self.directory.close()
+        self.notices.close()
+        self.engine.leave()
+        self.server.leave()
+
+    @property
+    def out(self) -> int:
+        return self.targets.out
+
+    @property
+    def has_clients(self) -> bool:
+        return self.server.has_clients
+
+    # Following another process (`takeover.successor.Heir`).
+
+    def adopt_client(self, connection: socket.socket, data: bytes, proven: bool) -> None:
+        self.server.adopt(connection, data, proven)
+
+    async def adopt_call(self, target: bytes, connection: socket.socket) -> None:
+        await self.targets.adopt(target, connection)
+
+    def borrowed(self, outcome: api.Outcome) -> None:
+        if outcome.hold > 0:
+            self.targets.told_by(outcome.target, outcome.hold)
+        self.engine.outcome(outcome)
+
+    def borrower_gone(self) -> None:
+        self.engine.borrower_gone()
+
     def figures(self) -> str:
         """The operators' figures, as text."""
         engine = self.engine
--- a/emberlatch/store/journal.py
+++ b/emberlatch/store/journal.py
@@ -147,7 +147,13 @@
 
     def close(self) -> None:
         """Close the segment that is being written."""
-        self._files.close(self._fd)
+        if self._fd >= 0:
+            self._files.close(self._fd)
+            self._fd = -1
+
+    def reopen(self) -> None:
+        """Go on after a close in which nobody else has written here."""
+        self._roll()
 
     def _append(self, record: bytes, terms: str = "") -> None:
         for _ in range(len(self._sizes)):
--- /dev/null
+++ b/emberlatch/takeover/owner.py
@@ -0,0 +1,243 @@
+"""The side that serves: gives way when asked, and carries what was out until it is back."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+import struct
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, Protocol
+
+from emberlatch.core.interface import Outcome
+from emberlatch.engine import Tasks
+from emberlatch.takeover.link import MOST_DESCRIPTORS, Link, LinkError, listen
+from emberlatch.takeover.lock import Lock
+from emberlatch.takeover.state import VERSION, plain
+from emberlatch.takeover.states import Giving, Reply, State
+
+log = logging.getLogger(__name__)
+
+ASK = 1.0  # seconds in which one that connects must say what it wants
+HAVE = 2.0  # seconds from the state until the other one must own
+RECLAIM = 0.02  # seconds between tries to get the lock back
+AGAIN = 0.1  # seconds between looks at what is out
+LOST = 1.0  # seconds after a broken link from which on another owns if we do not get the lock
+LEFT = 2.5  # seconds for those clients that could not be handed over
+
+
+class Process(Protocol):
+    """The process as far as it gives way."""
+
+    async def hold(self) -> None:
+        """Take nothing in: what comes waits in its sockets."""
+
+    def freeze(self, report: Callable[[Outcome], None]) -> dict[str, Any]:
+        """End the turn, write no more; the state. Outcomes of calls go to `report` from here on."""
+
+    def thaw(self) -> None:
+        """Go on as if nothing had been."""
+
+    def borrowed(self, outcome: Outcome) -> None:
+        """Take an outcome that came while it was not known who owns."""
+
+    def clients(self) -> Iterator[tuple[int, dict[str, Any]]]:
+        """Connections of clients that can go over: descriptor, and what goes with it."""
+
+    def connections(self) -> Iterator[tuple[int, str]]:
+        """Idle connections to targets: descriptor and target."""
+
+    def leave(self) -> None:
+        """Another process owns: refuse who is left, carry what is out."""
+
+    @property
+    def out(self) -> int:
+        """Calls that are out."""
+
+    @property
+    def has_clients(self) -> bool:
+        """Whether any client is left."""
+
+
+class Owner:
+    """Listens at a path for one that wants to follow."""
+
+    def __init__(self, lock: Lock, path: Path, process: Process, tasks: Tasks) -> None:
+        self._lock, self._path, self._process, self._tasks = lock, path, process, tasks
+        self.giving = Giving(VERSION)
+        self._listener: socket.socket | None = None
+        self._outcomes: list[Outcome] = []
+        self._told = asyncio.Event()  # outcomes have come, or all is back
+        self._settled = asyncio.Event()
+        self._settled.set()
+        self.ended = asyncio.Event()
+        """This process has nothing left to do: another owns, and nothing is out."""
+
+    def start(self) -> None:
+        """Listen; OSError if that can't be."""
+        self._listener = listen(self._path)
+        asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    def close(self) -> None:
+        """Listen no more. The path stays: by now it may be another's."""
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
+            self._listener.close()
+            self._listener = None
+
+    async def settled(self) -> None:
+        """Wait until it is known who owns."""
+        await self._settled.wait()
+
+    def outcome(self, outcome: Outcome) -> None:
+        """A call that was out at the cut is back."""
+        self._outcomes.append(outcome)
+        self._told.set()
+
+    def _accept(self) -> None:
+        assert self._listener is not None
+        try:
+            connection, _ = self._listener.accept()
+        except OSError as error:
+            return log.info("takeover: %s", error)
+        _, user, _ = struct.unpack(
+            "3i", connection.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+        )
+        if user != os.getuid():
+            return connection.close()
+        self._tasks.spawn(self._serve(Link(connection)))
+
+    async def _serve(self, link: Link) -> None:
+        try:
+            async with asyncio.timeout(ASK):
+                frame = await link.receive()
+            if frame is None:
+                return
+            frame.close()
+            reply = self.giving.asked(frame.body.get("version")) if frame.kind == "take" else Reply.CANNOT
+            if reply is not Reply.CUT:
+                return await link.send(reply.value, {})
+            self._settled.clear()
+            try:
+                await self._cut(link)
+            finally:
+                self._settled.set()
+            if self.giving.state is State.LENDING:
+                await self._lend(link)
+            if self.giving.state is State.ENDED:
+                self.ended.set()
+        except (LinkError, TimeoutError) as error:
+            log.info("takeover: %r", error)
+        finally:
+            link.close()
+
+    async def _cut(self, link: Link) -> None:
+        log.info("takeover: another process asks; holding")
+        began = asyncio.get_running_loop().time()
+        await self._process.hold()
+        state = self._process.freeze(self.outcome)
+        try:
+            async with asyncio.timeout(HAVE):
+                await link.send("state", {"version": VERSION} | state)
+                self._lock.free()
+                frame = await link.receive()
+                broke = frame is None or frame.kind != "have"
+        except (LinkError, TimeoutError) as error:
+            log.error("takeover: no answer: %r", error)
+            broke = isinstance(error, LinkError)
+        else:
+            self.giving.unheard() if broke else self.giving.have()
+        if not self.giving.settled:
+            self.giving.unheard()
+            await self._reclaim(link, broke)
+        if self.giving.state is State.SERVING:
+            log.error("takeover: nobody followed; going on")
+            self._process.thaw()
+            self._return()
+        else:
+            took = asyncio.get_running_loop().time() - began
+            log.info("takeover: another process owns, %.0f ms after it asked", took * 1000)
+            self.close()
+
+    def _return(self) -> None:
+        """Outcomes that came while it was not known who owns."""
+        late, self._outcomes = self._outcomes, []
+        for outcome in late:
+            self._process.borrowed(outcome)
+
+    async def _reclaim(self, link: Link, broke: bool) -> None:
+        loop = asyncio.get_running_loop()
+        lost = loop.time() + LOST if broke else None
+        answer = asyncio.ensure_future(link.receive())
+        try:
+            while self.giving.state is State.RECLAIMING:
+                if self._lock.take():
+                    return self.giving.reclaimed()
+                await asyncio.wait({answer}, timeout=RECLAIM)
+                if answer.done() and lost is None:
+                    frame = None if answer.exception() is not None else answer.result()
+                    if frame is not None and frame.kind == "have":
+                        return self.giving.have()
+                    lost = loop.time() + LOST
+                if lost is not None and loop.time() >= lost:
+                    self.giving.lost()
+                elif lost is not None:
+                    await asyncio.sleep(RECLAIM)
+        finally:
+            answer.cancel()
+
+    async def _lend(self, link: Link) -> None:
+        """Hand over what is open, then tell what comes back until nothing is out."""
+        try:
+            await self._hand_over(link)
+            self._process.leave()
+            until = asyncio.get_running_loop().time() + LEFT
+            while self._process.out or self._outcomes:
+                told, self._outcomes = self._outcomes, []
+                if told:
+                    await link.send("outcomes", {"each": [plain(outcome) for outcome in told]})
+                    continue
+                self._told.clear()
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(AGAIN):
+                        await self._told.wait()
+            log.info("takeover: nothing is out any more")
+            link.close()  # the other one is told that nothing more comes
+            while self._process.has_clients and asyncio.get_running_loop().time() < until:
+                await asyncio.sleep(0.02)
+            self.giving.returned()
+        except LinkError as error:
+            log.error("takeover: nobody is left to tell: %s", error)
+            self.giving.unheard()
+
+    async def _hand_over(self, link: Link) -> None:
+        for kind, each in (
+            ("clients", self._process.clients()),
+            ("connections", self._process.connections()),
+        ):
+            descriptors: list[int] = []
+            told: list[Any] = []
+            number = 0
+            for descriptor, what in each:
+                # What was yielded before is let go when the next is asked for, so each keeps a handle here.
+                descriptors.append(os.dup(descriptor))
+                told.append(what)
+                number += 1
+                if len(descriptors) == MOST_DESCRIPTORS:
+                    await _send_all(link, kind, descriptors, told)
+            await _send_all(link, kind, descriptors, told)
+            log.info("takeover: %d %s handed over", number, kind)
+
+
+async def _send_all(link: Link, kind: str, descriptors: list[int], told: list[Any]) -> None:
+    try:
+        if descriptors:
+            await link.send(kind, {"each": told}, descriptors)
+    finally:
+        for descriptor in descriptors:
+            os.close(descriptor)
+        descriptors.clear()
+        told.clear()
--- /dev/null
+++ b/emberlatch/takeover/successor.py
@@ -0,0 +1,135 @@
+"""The side that comes: takes the lock, by the owner's leave if it can talk, and goes on with what it gave."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Protocol
+
+from emberlatch.core.interface import Outcome
+from emberlatch.takeover.link import Frame, Link, LinkError, connect
+from emberlatch.takeover.lock import Lock
+from emberlatch.takeover.state import VERSION, StateError, checked, lent, outcome
+from emberlatch.takeover.states import Reply
+
+log = logging.getLogger(__name__)
+
+AGAIN = 0.05  # seconds between looks at the lock
+LOOK = 0.002  # the same, once the owner has said that it frees it
+PATIENCE = 3.0  # seconds for the owner to give its state, and to free the lock
+
+
+class Heir(Protocol):
+    """The process as it goes on with what another gives."""
+
+    def adopt_client(self, connection: socket.socket, data: bytes, proven: bool) -> None:
+        """A client's connection, with what has been read of a request that is not whole."""
+
+    async def adopt_call(self, target: bytes, connection: socket.socket) -> None:
+        """An idle connection to a target."""
+
+    def borrowed(self, outcome: Outcome) -> None:
+        """An attempt that the other one carried is back."""
+
+    def borrower_gone(self) -> None:
+        """The other one can tell no more."""
+
+
+class Taken:
+    """What the owner gave; see `engine.Taken`."""
+
+    def __init__(self, link: Link, state: Mapping[str, Any]) -> None:
+        self.module: Mapping[str, Any] = state["module"]
+        self.lent = lent(state)
+        self.waits: list[tuple[str | int, float]] = [(bound, until) for bound, until in state["waits"]]
+        self.known: Mapping[str, Any] = state["known"]
+        self._link = link
+
+    def have(self) -> None:
+        """Tell the other one; if it is gone, what it carried may have run."""
+        try:
+            self._link.post("have")
+        except LinkError as error:
+            log.info("takeover: the process before is gone: %s", error)
+            self._link.close()
+
+    async def follow(self, heir: Heir) -> None:
+        """Take what the other one still gives and tells, until it ends."""
+        try:
+            while not self._link.closed and (frame := await self._link.receive()) is not None:
+                try:
+                    await self._take(frame, heir)
+                finally:
+                    frame.close()
+        except (LinkError, StateError, OSError) as error:
+            log.error("takeover: the link broke: %s", error)
+        except asyncio.CancelledError:  # we end ourselves: what is out stays in doubt
+            self._link.close()
+            raise
+        self._link.close()
+        heir.borrower_gone()
+
+    async def _take(self, frame: Frame, heir: Heir) -> None:
+        told = frame.body.get("each", [])
+        match frame.kind:
+            case "clients":
+                for each in told:
+                    connection = socket.socket(fileno=frame.descriptors.pop(0))
+                    heir.adopt_client(connection, each["data"].encode("latin-1"), each["proven"] is True)
+            case "connections":
+                for target in told:
+                    await heir.adopt_call(target.encode(), socket.socket(fileno=frame.descriptors.pop(0)))
+            case "outcomes":
+                for each in told:
+                    heir.borrowed(outcome(each))
+            case kind:
+                log.info("takeover: a frame of kind %r is passed over", kind)
+
+
+async def claim(lock: Lock, path: Path | None) -> Taken | None:
+    """Wait until the lock is ours; what its owner gave, or None where only the journal tells.
+
+    Without a path nobody can be asked.
+    """
+    while not lock.take():
+        if path is not None:
+            try:
+                taken = await _ask(lock, path)
+            except StateError as error:
+                log.error("takeover: %s; waiting for the owner to end", error)
+                path = None
+                continue
+            except (LinkError, TimeoutError) as error:
+                log.error("takeover: the owner did not give way: %r", error)
+                taken = None
+            if taken is not None:
+                return taken
+        await asyncio.sleep(AGAIN)
+    return None
+
+
+async def _ask(lock: Lock, path: Path) -> Taken | None:
+    """Ask the owner to give way; None if it is to be asked again."""
+    try:
+        link = Link(connect(path))
+    except OSError:  # nobody is there yet, or any more
+        return None
+    try:
+        async with asyncio.timeout(PATIENCE):
+            await link.send("take", {"version": VERSION})
+            frame = await link.receive()
+            if frame is None or frame.kind == Reply.BUSY.value:
+                link.close()
+                return None
+            if frame.kind != "state" or frame.body.get("version") != VERSION:
+                raise StateError(f"the owner cannot give way: it says {frame.kind!r}")
+            state = checked(frame.body)
+            while not lock.take():
+                await asyncio.sleep(LOOK)
+        return Taken(link, state)
+    except BaseException:
+        link.close()
+        raise
--- a/tests/operations/test_address.py
+++ b/tests/operations/test_address.py
@@ -47,6 +47,7 @@
             (folder / "state").mkdir(exist_ok=True)
             environment = {"EDGE_CONFIG": str(folder / "config.json"), "EDGE_STATE": str(folder / "state")}
             under_test = Node(read_config(environment))
+            under_test.open()
             await under_test.start()
             try:
                 yield port, operators, target, under_test
