--- a/emberlatch/__main__.py
+++ b/emberlatch/__main__.py
@@ -74,10 +74,12 @@
         raise ConfigError(f"EDGE_STATE: {str(config.state)!r} is in use by another forwarder") from error
 
 
-async def _started(config: Config, platform: Platform, lock: Lock, stop: asyncio.Event) -> bool:
+async def _started(
+    config: Config, platform: Platform, lock: Lock, follows: bool, stop: asyncio.Event
+) -> bool:
     """Whether the forwarder serves; it does not if it was told to stop before the folder was its own."""
     platform.open()
-    taken = await _own(config, lock, "EDGE_FD" in os.environ, stop)
+    taken = await _own(config, lock, follows, stop)
     if not lock.held:
         return False
     try:
@@ -105,7 +107,7 @@
         platform = Platform(config, _machine(config, listener))
     except ValueError as error:
         raise ConfigError(f"limits.disk_mb: {error}") from error
-    if not await _started(config, platform, lock, stop):
+    if not await _started(config, platform, lock, listener is not None, stop):
         return
     owner = Owner(lock, talk_path(config.name), platform, platform.tasks)
     if listener is not None:
@@ -114,7 +116,7 @@
         except OSError as error:
             log.error("nobody can follow this process: %s", error)
     loop.add_signal_handler(signal.SIGHUP, _hang_up, platform, owner, reload)
-    if reload.is_set():
+    if reload.is_set() or platform.outdated():
         _reload(platform)
     await _until(stop, owner, platform, reload)
 
--- a/emberlatch/core/handover.py
+++ b/emberlatch/core/handover.py
@@ -100,5 +100,5 @@
             "sent": call.sent,
             "trial": call.trial,
             "judged": call.judged,
-            "messages": [[ref, attempt] for ref, attempt in call.messages],
+            "messages": [[ref, attempt, message.key] for (ref, attempt), message in call.messages.items()],
         }
--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+from collections.abc import Iterable
 
 from emberlatch.core import interface as api
 
@@ -140,7 +141,7 @@
         """Take a message on: it waits no longer."""
         self.messages[message.ref, message.attempts] = message
         message.attempts, message.call = message.attempts + 1, self
-        self.endpoint.route.pool.waiting.pop(message.ref)
+        self.endpoint.route.pool.waiting.pop(message.ref, None)
 
     def close(self) -> None:
         """Give the lease back."""
@@ -251,6 +252,14 @@
                 self._rests.pop(message.key, None)  # so that the oldest stay in front
                 self._rests[message.key] = rests_until, message.ref
 
+    def rests(self) -> list[tuple[int, float, int]]:
+        """The keys that rest: until when, and but for which message; the oldest first."""
+        return [(key, until, ref) for key, (until, ref) in self._rests.items()]
+
+    def rest(self, rests: Iterable[tuple[int, float, int]]) -> None:
+        """Let keys rest that did so in another process."""
+        self._rests.update({key: (until, ref) for key, until, ref in rests})
+
     def rests_until(self, key: int) -> float:
         """When the rest of a key ends."""
         return self._rests.get(key, (-math.inf, -1))[0]
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -159,6 +159,7 @@
             "messages": handover.messages(self.open),
             "calls": list(handover.calls(self.calls)),
             "short_until": list(self.short_until.items()),
+            "rests": self.lines.rests(),
         } | handover.take(self, CARRIED)
 
     def _take_over(self, event: api.TakenOver) -> None:
@@ -168,20 +169,25 @@
             if (message := self.open.get(told["ref"])) is not None:
                 handover.give(message, handover.MESSAGE, told)
         for told in state["calls"]:
-            out = [(self.open[ref], attempt) for ref, attempt in told["messages"] if ref in self.open]
-            if not out:
-                continue
             call = Call(self._end_of_call(told), told["sent"], told["trial"])
             call.judged, self.free = told["judged"], self.free - 1
-            for message, attempt in out:
+            for ref, attempt, key in told["messages"]:
+                message = self.open.get(ref) or self._ended_one(ref, told["destination"], key)
                 message.attempts = attempt
-                self.calls[message.ref, attempt] = call
+                self.calls[ref, attempt] = call
                 call.add(message)
                 self.lines.sent(message)
         handover.resume_pools(state["pools"], self.pools, self.endpoints)
         self.short_until = dict(state["short_until"])
+        self.lines.rest(state["rests"])
         handover.give(self, CARRIED, state)
 
+    def _ended_one(self, ref: int, destination: int, key: int) -> Message:
+        """A message that has its answer while a call of it is out: that call holds its slot and its line."""
+        ordered = (c for c in self.settings.categories if c.ordered == (key != 0))
+        terms = api.Terms(next(ordered, self.settings.categories[0]), 1)
+        return Message(api.Arrival(ref, 0, destination, 0.0, key=key), terms, self.now)
+
     def _end_of_call(self, told: Mapping[str, Any]) -> Endpoint:
         """Where a call went; a target that has left the list since is there until the call is back."""
         target = str(told["target"]).encode()
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -276,6 +276,13 @@
         Store(self._files(config.state), config.journal_bytes)
         self.directory.read(config.known)
 
+    def outdated(self) -> bool:
+        """Whether the file says something else since it was read: the process before may have been told."""
+        try:
+            return bool(json.loads(Path(os.environ.get("EDGE_CONFIG", "")).read_bytes()) != self._document)
+        except (OSError, ValueError):
+            return False
+
     def reload(self, config: Config) -> None:
         """Take a new configuration that `check` has found good."""
         self._document = config.document
--- a/emberlatch/takeover/state.py
+++ b/emberlatch/takeover/state.py
@@ -25,12 +25,17 @@
         for call in module["calls"]:
             str(call["target"]), int(call["destination"]), int(call["kind"]), int(call["zone"])
             float(call["sent"]), bool(call["trial"]), bool(call["judged"])
-            for ref, attempt in call["messages"]:
+            for ref, attempt, key in call["messages"]:
                 _whole(ref)
                 _whole(attempt)
+                _whole(key)
         for message in module["messages"]:
             _whole(message["ref"])
         list(module["pools"]), dict(module["short_until"])
+        for key, until, ref in module["rests"]:
+            _whole(key)
+            _whole(ref)
+            float(until)
         for bound, until in state["waits"]:
             if not isinstance(bound, str | int):
                 raise StateError(f"a wait for {bound!r}")
@@ -52,7 +57,7 @@
     return [
         (ref, attempt, call["target"].encode())
         for call in state["module"]["calls"]
-        for ref, attempt in call["messages"]
+        for ref, attempt, _ in call["messages"]
     ]
 
 
--- /dev/null
+++ b/tests/takeover/test_states.py
@@ -0,0 +1,148 @@
+"""The states of the side that gives way, and what it hands over, without sockets."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+
+import pytest
+
+from emberlatch.core.interface import Outcome, Result
+from emberlatch.takeover import VERSION, Giving, Reply, State, StateError, checked
+from emberlatch.takeover.state import lent, outcome, plain
+
+
+def cutting() -> Giving:
+    giving = Giving(VERSION)
+    assert giving.asked(VERSION) is Reply.CUT
+    return giving
+
+
+def test_the_way_of_a_takeover() -> None:
+    giving = cutting()
+    assert not giving.settled and not giving.owns
+    giving.have()
+    assert giving.state is State.LENDING and giving.settled and not giving.owns
+    giving.returned()
+    assert giving.state is State.ENDED
+
+
+@pytest.mark.parametrize("version", [VERSION + 1, None, "1", 0])
+def test_another_version_is_not_cut_for(version: object) -> None:
+    giving = Giving(VERSION)
+    assert giving.asked(version) is Reply.CANNOT
+    assert giving.state is State.SERVING
+
+
+def test_a_second_one_that_asks_waits_for_the_first() -> None:
+    giving = cutting()
+    assert giving.asked(VERSION) is Reply.BUSY
+    giving.unheard()
+    assert giving.asked(VERSION) is Reply.BUSY
+    giving.have()
+    assert giving.asked(VERSION) is Reply.CANNOT
+
+
+def test_without_a_word_the_lock_tells() -> None:
+    giving = cutting()
+    giving.unheard()
+    assert giving.state is State.RECLAIMING and not giving.owns
+    giving.reclaimed()
+    assert giving.state.value == "serving" and giving.owns
+    assert giving.asked(VERSION) is Reply.CUT  # and another may try
+
+
+def test_a_late_word_counts_while_the_lock_is_not_ours() -> None:
+    giving = cutting()
+    giving.unheard()
+    giving.have()
+    assert giving.state is State.LENDING
+    giving.reclaimed()  # no more
+    assert giving.state is State.LENDING
+
+
+def test_the_lock_is_anothers_and_nobody_tells() -> None:
+    giving = cutting()
+    giving.unheard()
+    giving.lost()
+    assert giving.state is State.ENDED
+
+
+def test_sigterm_in_each_state() -> None:
+    serving = Giving(VERSION)
+    assert serving.stop() and serving.state is State.STOPPING
+    assert serving.asked(VERSION) is Reply.CANNOT
+    lending = cutting()
+    lending.have()
+    assert not lending.stop() and lending.state is State.LENDING
+    unsettled = cutting()
+    assert not unsettled.stop() and unsettled.state is State.CUTTING
+
+
+GOOD: dict[str, Any] = {
+    "module": {
+        "calls": [
+            {
+                "target": "s-1",
+                "destination": 7,
+                "kind": 0,
+                "zone": 1,
+                "sent": 1.5,
+                "trial": False,
+                "judged": False,
+                "messages": [[4, 0, 0], [5, 2, 9]],
+            }
+        ],
+        "messages": [{"ref": 4}],
+        "pools": [],
+        "short_until": [[0, 1.0]],
+        "rests": [[9, 1.0, 5]],
+    },
+    "waits": [["s-1", 2.5], [7, 3.0]],
+    "known": {"revision": 1, "complete": True, "members": []},
+}
+
+
+def test_what_is_handed_over_is_looked_through() -> None:
+    assert lent(checked(json.loads(json.dumps(GOOD)))) == [(4, 0, b"s-1"), (5, 2, b"s-1")]
+
+
+PARTS = [
+    ("module",),
+    ("module", "calls"),
+    ("module", "calls", 0, "target"),
+    ("module", "calls", 0, "sent"),
+    ("module", "calls", 0, "messages"),
+    ("module", "calls", 0, "messages", 0),
+    ("module", "calls", 0, "messages", 0, 0),
+    ("module", "messages", 0, "ref"),
+    ("module", "rests", 0),
+    ("waits", 0),
+    ("waits", 0, 1),
+    ("known", "members"),
+]
+
+
+@pytest.mark.parametrize("path", PARTS)
+@pytest.mark.parametrize("value", [None, "x", {"a": 1}])
+def test_a_state_that_is_spoilt_where_it_counts_is_refused_whole(path: tuple[Any, ...], value: Any) -> None:
+    state = copy.deepcopy(GOOD)
+    section: Any = state
+    for step in path[:-1]:
+        section = section[step]
+    if path[-1] == "target" and value is not None:
+        pytest.skip("any text names a target")
+    section[path[-1]] = value
+    if path[-1] == "target":
+        del section["target"]
+    with pytest.raises(StateError):
+        checked(state)
+
+
+def test_an_outcome_comes_back_as_it_went() -> None:
+    told = Outcome(4, 1, b"s-1", Result.FULL, 0.25, False, 1.5, 1500, (0.5, 25.0))
+    assert outcome(json.loads(json.dumps(plain(told)))) == told
+    for spoilt in ({}, plain(told) | {"result": 7}, plain(told) | {"target": 3}, plain(told) | {"report": 1}):
+        with pytest.raises(StateError):
+            outcome(spoilt)
