--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -112,14 +112,22 @@
         self.short.pop(destination, None)
         if pool.waiting and (self.free <= 0 or self.stuck >= self.sick_cap):
             self.short[destination] = pool
-        brief = self._brief(pool)
-        for message in pool.waiting.values():
-            times += [message.due, self._wait_end(message, pool, brief)]
-            times.append(self._hopeless_from(message, pool))
-            times += [message.not_before, self.lines.rests_until(message.key)]
         for route in pool.routes if pool.waiting else ():
             times += [route.blocked_until, route.next_trial, route.bucket.ready_at(self._pace(route))]
-        self.agenda.put(destination, min((at for at in times if at > self.now), default=math.inf))
+        now, first = self.now, min((at for at in times if at > self.now), default=math.inf)
+        brief, waits, ways = self._brief(pool), self._waits_briefly(), self._ways(pool)
+        for message in pool.waiting.values():  # often hundreds, at every turn: no list of all their times
+            if now < message.due < first:
+                first = message.due
+            if now < message.not_before < first:
+                first = message.not_before
+            if waits and not message.returned and now < (at := self._wait_end(message, pool, brief)) < first:
+                first = at
+            if ways and now < (at := self._hopeless_from(message, pool, ways)) < first:
+                first = at
+            if message.key and now < (at := self.lines.rests_until(message.key)) < first:
+                first = at
+        self.agenda.put(destination, first)
 
     def _arrive(self, event: api.Arrival) -> None:
         settings = self.settings
@@ -252,33 +260,39 @@
         return self.settings.open_cap * pool.normal / self._size(pool) or math.inf
 
     def _wait_end(self, message: Message, pool: Pool, brief: float) -> float:
-        """That wait ends before the aim; a message that has come again waits on."""
-        if message.returned or (self.refused >= 5 and self.came_back < 0.3 * self.refused):
-            return math.inf
+        """That wait of a message that has not come again ends before the aim."""
         return min(message.aim - pool.normal, message.arrived + brief)
 
-    def _hopeless_from(self, message: Message, pool: Pool) -> float:
+    def _waits_briefly(self) -> bool:
+        """Whether messages do: where clients do not come again, all wait on."""
+        return self.refused < 5 or self.came_back >= 0.3 * self.refused
+
+    def _ways(self, pool: Pool) -> list[Route]:
+        """The routes of a pool; none if one of them is open and serves, for then all have a prospect."""
+        sound = any(r.unheard == math.inf and r.blocked_until <= self.now for r in pool.routes)
+        return [] if sound else pool.routes
+
+    def _hopeless_from(self, message: Message, pool: Pool, ways: list[Route]) -> float:
         """When it can't expect its turn before its end any more.
 
         A route that was called and has served nothing for some time is expected to go on so in proportion,
         for of an outage only its age is known. The end of a told wait is known.
         """
         last = message.end - pool.normal
-        return max(
-            (
-                -math.inf if r.blocked_until > last else (last + LASTS * r.unheard) / (1 + LASTS)
-                for r in pool.routes
-            ),
-            default=math.inf,
-        )
+        open_then = [r.unheard for r in ways if r.blocked_until <= last]
+        if not open_then:
+            return -math.inf if ways else math.inf
+        return (last + LASTS * max(open_then)) / (1 + LASTS)
 
     def _give_up(self, pool: Pool) -> None:
         """The brief wait ends before the aim; what has no prospect is told so at once; all before the end."""
-        brief, asking = self._brief(pool), sum(not route.trial_out for route in pool.routes)
+        brief, waits, ways = self._brief(pool), self._waits_briefly(), self._ways(pool)
+        asking = sum(not route.trial_out for route in pool.routes)
         for message in list(pool.waiting.values()):
             over = self.now >= message.due or message.attempts >= message.most_attempts
-            waited = self.now >= self._wait_end(message, pool, brief)
-            if not over and not waited and self.now >= self._hopeless_from(message, pool):
+            brisk = waits and not message.returned
+            waited = brisk and self.now >= self._wait_end(message, pool, brief)
+            if ways and not over and not waited and self.now >= self._hopeless_from(message, pool, ways):
                 # Some stay: who else would find out that it is back?
                 waited, asking = asking <= 0, asking - 1
             if over or (waited and self._may_refuse(message)):
@@ -304,6 +318,8 @@
         for pool in self.touched.values():
             if not pool.waiting or self.free <= 0 or pool.leases >= self._size(pool):
                 continue
+            if not any(self._usable(route) for route in pool.routes):
+                continue  # before all that wait are ranked in vain
             lease = max(pool.normal, *(route.recent for route in pool.routes), 0.01)
             if now + STOP_ROOM * lease > self.stops_at:
                 continue
