A call that later ones overtake is given up where its lease is wanted

Change: in a queue answers come in order, so a call is given up only when three later calls to the same endpoint were answered before it, it is older than the silence limit (doubled by each doubt), its class may go on and somebody waits for a lease (core/rules.py _overtake). The carrier carries out Cancel, which it logged as unknown before.

--- a/emberlatch/core/records.py
+++ b/emberlatch/core/records.py
@@ -130,6 +130,7 @@
         self.endpoint, self.sent, self.trial = endpoint, now, trial
         self.messages: dict[tuple[int, int], Message] = {}
         self.judged = False
+        self.passed = 0  # calls of its route that were sent after it and answered before it
         endpoint.route.calls[self] = None
         endpoint.route.pool.leases += 1
         endpoint.route.bucket.tokens -= not trial
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -37,6 +37,7 @@
 LEAST_PART, MORE_PART, CROWDED = 0.5, 0.7, 6.0  # its floor over own demand: least, more, fall by refusals
 SHARE_FIRST = 1.5  # of an even part of a known limit, at first: others may need less than theirs
 LEAST_TIMEOUT, TIMEOUT_TIMES = 2.0, 20.0  # cheap time-outs only make waste: a slow message is not lost
+PASSED = 3  # later calls answered before one, from which on it is not just slow
 KNOWN = 30  # successes from which on a destination's ways are known, so that one sign is enough
 RETRY_PAUSE = 0.05  # seconds; doubled by each attempt where others crowd in as well
 STOP_ROOM = 3.0  # usual latencies that a call is given to end before the forwarder does
@@ -502,6 +503,8 @@
             self.touched.update(self.short)
             self._close_idle(endpoint, result)
         self._learn(event, call, route)
+        if not call.messages and result is Result.OK:
+            self._overtake(call, route)
         message.call = None
         rests = result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)  # it may still be running
         self.lines.back(message, self.now + self.rules.order_settle if rests else -math.inf)
@@ -517,6 +520,35 @@
         if not self._has_way(message):
             self._end(message)
 
+    def _overtake(self, answered: Call, route: Route) -> None:
+        """Give up what holds a lease though those behind it are served: its connection has fallen silent.
+
+        In a queue answers come in the order of the calls, however late: what is only slow is not overtaken.
+        """
+        limit, wanted = self._silence(route.pool), bool(route.pool.waiting or self.short)
+        for call in list(route.calls):
+            if call.sent >= answered.sent or not self.settings.cancel:
+                break
+            if call.endpoint is not answered.endpoint:  # each has a queue of its own
+                continue
+            call.passed += 1
+            doubts = max((len(message.doubts) for message in call.messages.values()), default=0)
+            late = (
+                self.now - call.sent > limit * 2.0**doubts
+            )  # a message that is slow by itself gets its time
+            if (
+                wanted
+                and call.passed >= PASSED
+                and late
+                and all(map(self._may_doubt, call.messages.values()))
+            ):
+                self.actions += [api.Cancel(ref, attempt) for ref, attempt in call.messages]
+
+    def _may_doubt(self, message: Message) -> bool:
+        """Whether it can go on if its attempt that is out may have run."""
+        left = message.attempts < message.most_attempts
+        return message.ref in self.open and left and message.category.effect is not Effect.UNSAFE
+
     def _has_way(self, message: Message) -> bool:
         """Whether its class allows a further attempt: an endpoint for it may be listed any time."""
         if message.attempts >= message.most_attempts:
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -436,6 +436,8 @@
                 if self._timer is not None:
                     self._timer.cancel()
                 self._timer = self._loop.call_at(at, self._happened, api.TimerFired(token))
+            case api.Cancel(ref, attempt):
+                self._carrier.cancel(ref, attempt)
             case api.CloseIdle(target):
                 self._carrier.close_idle(target)
             case api.Note(text):
--- a/emberlatch/engine/seams.py
+++ b/emberlatch/engine/seams.py
@@ -123,6 +123,9 @@
     def call(self, target: Target, items: list[Item]) -> None:
         """Start one call."""
 
+    def cancel(self, ref: int, attempt: int) -> None:
+        """Wait no longer for an attempt that is written; it may have run."""
+
     def close_idle(self, target: Target) -> None:
         """Close idle connections."""
 
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -72,6 +72,7 @@
         self._waits: dict[bytes | int, float] = {}  # told waits, by what they bind: a target or a destination
         self._used: dict[Connection, _Target] = {}  # the idle ones, the longest unused first
         self._out = 0
+        self._calls: dict[tuple[int, int], _Call] = {}  # by message and attempt, while it has no outcome
 
     @property
     def out(self) -> int:
@@ -122,6 +123,7 @@
             return call.settle_all(Result.MOOT)
         self._out += 1
         known.out += 1
+        self._calls.update(((item.ref, item.attempt), call) for item in items)
         self._tasks.spawn(self._run(known, call))
 
     # Another process follows this one.
@@ -169,6 +171,11 @@
         else:
             protocol.close()
 
+    def cancel(self, ref: int, attempt: int) -> None:
+        """Wait no longer for one message of a call that is written; with the last one its connection ends."""
+        if (call := self._calls.get((ref, attempt))) is not None:
+            call.cancel(ref, attempt)
+
     def close_idle(self, target: bytes) -> None:
         """Close the idle connections to a target."""
         known = self._targets.get(target)
@@ -189,6 +196,8 @@
         finally:
             self._out -= 1
             target.out -= 1
+            for item in call.given:
+                self._calls.pop((item.ref, item.attempt), None)
             if target.gone and self._targets.get(call.target) is target:
                 self._forget(call.target)
 
@@ -211,6 +220,7 @@
             return call.settle_all(Result.MOOT)
         call.items = list(call.pending)
         answer = connection.exchange(_request(target.address, call.items))
+        call.connection = connection
         at_once = connection.written
         self._tally.count("dispatches", by=len(call.items) * at_once)
         try:
@@ -300,7 +310,8 @@
     """A call that is out and the messages of it that have no outcome yet."""
 
     def __init__(self, target: bytes, items: list[Item], report: Callable[[Outcome], None]) -> None:
-        self.target, self.items = target, items
+        self.target, self.items, self.given = target, items, items
+        self.connection: Connection | None = None  # once the call is written to it
         self._started = asyncio.get_running_loop().time()
         self.pending = {item: self._started + item.timeout for item in items}
         self.late: list[Item] = []  # timed out while the call goes on for others: its answer may still say ok
@@ -317,6 +328,15 @@
                     self.settle(item, late)
                     self.late.append(item)
 
+    def cancel(self, ref: int, attempt: int) -> None:
+        """Nobody waits for this message any more."""
+        for item in [item for item in self.pending if (item.ref, item.attempt) == (ref, attempt)]:
+            if self.connection is not None and self.connection.written:
+                self.settle(item, Result.CANCELLED)
+                self.late.append(item)
+                if not self.pending:
+                    self.connection.close()
+
     def settle_all(
         self, result: Result, closed: bool = False, hold: float = 0.0, report: tuple[float, ...] = ()
     ) -> None:
