--- /dev/null
+++ b/emberlatch/process.py
@@ -0,0 +1,165 @@
+"""Runs one forwarder on the platform: configuration (EDGE_*), signals, start and exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import socket
+import sys
+from collections.abc import Coroutine
+from dataclasses import replace
+from typing import Any
+
+from emberlatch.engine import REAL, Machine
+from emberlatch.engine.engine import GONE_AFTER
+from emberlatch.net.directory import UNREADABLE
+from emberlatch.platform import Config, ConfigError, Platform, read_config
+from emberlatch.takeover import Lock, Owner, Taken, claim, inherited, talk_path
+
+log = logging.getLogger("emberlatch")
+
+FREE = 5.0  # seconds in which a process that is killed has given up its folder
+
+
+def _reload(platform: Platform) -> None:
+    """Take up the configuration as it is now; one that is not good in every part changes nothing."""
+    try:
+        config = read_config(os.environ)
+        platform.check(config)
+    except (ConfigError, *UNREADABLE) as error:
+        log.error("configuration not taken: %r", error)
+        platform.engine.tally.count("reload_failure")
+        return
+    platform.reload(config)
+
+
+def _listener() -> socket.socket | None:
+    """The platform's listening socket, where it holds one for every process."""
+    told = os.environ.get("EDGE_FD")
+    try:
+        return inherited(told) if told else None
+    except ValueError as error:
+        raise ConfigError(f"EDGE_FD: {error}") from error
+
+
+def _machine(config: Config, listener: socket.socket | None) -> Machine:
+    if listener is None:
+        return REAL
+    clients = config.listen
+    return replace(REAL, listen=lambda address: listener if address == clients else REAL.listen(address))
+
+
+async def _unless(stop: asyncio.Event, work: Coroutine[Any, Any, Taken | None]) -> Taken | None:
+    """Wait for the work, or for the word to stop."""
+    task, stopped = asyncio.ensure_future(work), asyncio.ensure_future(stop.wait())
+    await asyncio.wait({task, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    for each in (task, stopped):
+        each.cancel()
+    return task.result() if task.done() else None
+
+
+async def _own(config: Config, lock: Lock, follows: bool, stop: asyncio.Event) -> Taken | None:
+    """Wait for the folder to be ours; what the process before gave, if there was one that could."""
+    if follows:
+        return await _unless(stop, claim(lock, talk_path(config.name)))
+    try:
+        async with asyncio.timeout(FREE):
+            return await _unless(stop, claim(lock, None))
+    except TimeoutError as error:
+        raise ConfigError(f"EDGE_STATE: {str(config.state)!r} is in use by another forwarder") from error
+
+
+async def _started(
+    config: Config, platform: Platform, lock: Lock, follows: bool, stop: asyncio.Event
+) -> bool:
+    """Whether the forwarder serves; it does not if it was told to stop before the folder was its own."""
+    platform.open()
+    taken = await _own(config, lock, follows, stop)
+    if not lock.held:
+        return False
+    try:
+        await platform.start(taken)
+    except (KeyError, TypeError, ValueError) as error:
+        raise ConfigError(f"known: {error!r}") from error
+    except OSError as error:
+        raise ConfigError(f"{'EDGE_STATE' if error.filename else 'listen'}: {error}") from error
+    return True
+
+
+async def _serve() -> None:
+    stop, reload = asyncio.Event(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    # From here on SIGHUP is remembered, and what it asks for is done once the forwarder is there.
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    config, listener = read_config(os.environ), _listener()
+    try:
+        lock = Lock(config.state)
+    except OSError as error:
+        raise ConfigError(f"EDGE_STATE: {error}") from error
+    try:
+        platform = Platform(config, _machine(config, listener))
+    except ValueError as error:
+        raise ConfigError(f"limits.disk_mb: {error}") from error
+    if not await _started(config, platform, lock, listener is not None, stop):
+        return
+    owner = Owner(lock, talk_path(config.name), platform, platform.tasks)
+    if listener is not None:
+        try:
+            owner.start()
+        except OSError as error:
+            log.error("nobody can follow this process: %s", error)
+    loop.add_signal_handler(signal.SIGHUP, _hang_up, platform, owner, reload)
+    if reload.is_set() or platform.outdated():
+        _reload(platform)
+    await _until(stop, owner, platform, reload)
+
+
+def _hang_up(platform: Platform, owner: Owner, reload: asyncio.Event) -> None:
+    """SIGHUP: at once, or when it is known who owns; one that only carries has nothing to take."""
+    if owner.giving.owns:
+        _reload(platform)
+    else:
+        reload.set()
+
+
+async def _until(stop: asyncio.Event, owner: Owner, platform: Platform, reload: asyncio.Event) -> None:
+    """Serve until SIGTERM, or until another process owns and nothing of ours is out."""
+    reload.clear()
+    ended = asyncio.ensure_future(owner.ended.wait())
+    stopped = asyncio.ensure_future(stop.wait())
+    late = asyncio.ensure_future(reload.wait())
+    while not (ended.done() or stopped.done()):
+        await asyncio.wait({ended, stopped, late}, return_when=asyncio.FIRST_COMPLETED)
+        if late.done():
+            await owner.settled()
+            if owner.giving.owns:
+                _reload(platform)
+            reload.clear()
+            late = asyncio.ensure_future(reload.wait())
+    late.cancel()
+    if stopped.done():
+        await owner.settled()
+        if owner.giving.stop():
+            owner.close()
+            await platform.stop()
+        else:
+            await asyncio.wait({ended}, timeout=GONE_AFTER)
+    platform.tasks.cancel()
+
+
+def main() -> int:
+    """Run until a signal; 2 says that a setting is at fault."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the file has not been read yet
+    logging.basicConfig(
+        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+    try:
+        asyncio.run(_serve())
+    except ConfigError as error:
+        print(f"emberlatch: {error}", file=sys.stderr)
+        return 2
+    return 0
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -149,9 +149,13 @@
     """The forwarder of the platform has 32 MB and one core: it must not pay for what it does not use."""
     heavy = ["yaml", "pydantic", "click", "rich", "csv"]
     heavy += [f"emberlatch.{name}" for name in ("cli", "config", "inventory", "standalone", "standins")]
-    code = f"import sys, emberlatch.__main__; print([n for n in {heavy} if n in sys.modules])"
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
-    assert done.stdout == "[]\n"
+    heavy += ["ssl", "_ssl", "tempfile", "shutil"]
+    told = f"print([n for n in {heavy} if sys.modules.get(n)])"
+    code = f"import sys, atexit; atexit.register(lambda: {told}); import emberlatch.__main__ as m; m.main()"
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    command = [sys.executable, "-c", code]
+    done = subprocess.run(command, cwd=ROOT, env=environment, capture_output=True, text=True, timeout=30)
+    assert done.stdout == "[]\n" and "EDGE_CONFIG" in done.stderr
 
 
 @pytest.mark.parametrize(
