Fault runs play takeovers: the real code of both sides on a virtual lock, talk and listener

Need: a kill of either process at every step, drawn by seed. The talk and the lock of emberlatch/takeover are protocols now; faults/succession.py stands in for the system's, and plans know takeover (with a kill of one side after so many seconds) and door (drain and back). DRAWS has 'takeover': two to four of them in a universe with other troubles.

The seeds of the other draws are as they were.

--- a/emberlatch/faults/network.py
+++ b/emberlatch/faults/network.py
@@ -63,6 +63,10 @@
         listener.process.listeners.append(listener)
         return listener
 
+    def hold(self, listener: Listener) -> None:
+        """A socket listens that no process of the world has made."""
+        self._listeners[listener.address] = listener
+
     def forget(self, listener: Listener) -> None:
         """A socket listens no more."""
         if self._listeners.get(listener.address) is listener:
--- a/emberlatch/faults/plan.py
+++ b/emberlatch/faults/plan.py
@@ -30,10 +30,14 @@
 """Of a forwarder (`f0`): SIGKILL, SIGTERM, discovery at another address by SIGHUP, SIGKILL at a system call
 of the disk (with how many calls from then, and where in it), a step of the wall clock (with seconds)."""
 
+OF_OPERATORS = ("takeover", "door")
+"""Of a forwarder: another process that takes over (with `kill-old` or `kill-new` and the seconds until then),
+clients asked to leave."""
+
 OF_LIST = ("drain", "remove", "replace")
 """Of an endpoint in the list: drained and back, removed and listed again, gone and another in its place."""
 
-KINDS = (*OF_ENDPOINTS, *OF_DIRECTORY, *OF_SERVICE, *OF_DISK, *OF_PROCESS, *OF_LIST)
+KINDS = (*OF_ENDPOINTS, *OF_DIRECTORY, *OF_SERVICE, *OF_DISK, *OF_PROCESS, *OF_OPERATORS, *OF_LIST)
 
 
 class PlanError(ValueError):
@@ -176,6 +180,32 @@
     return Plan(seed, tuple(faults), 34.0, 6.0 / forwarders, forwarders, pushed=True)
 
 
+def takeover(seed: int) -> Plan:
+    """One process follows another again and again, either side is killed at any step, while partners and the
+    directory are in trouble and the operators drain and take clients again."""
+    chance = random.Random(f"takeover {seed}")
+    forwarders = chance.choice((1, 1, 2))
+    faults: list[Fault] = []
+    for _ in range(chance.randint(2, 4)):
+        since = chance.uniform(1.0, CALM_FROM - 3.0)
+        kill = chance.choice(("", "kill-old", "kill-old", "kill-new", "kill-new"))
+        after = chance.choice((chance.uniform(0.0, 0.03), chance.uniform(0.0, 0.2), chance.uniform(0.2, 2.5)))
+        whom = f"f{chance.randrange(forwarders)}"
+        faults.append(Fault(round(since, 3), None, "takeover", whom, f"{kill} {after:.4f}" if kill else ""))
+    for _ in range(chance.randint(1, 3)):
+        since = chance.uniform(1.0, CALM_FROM - 2)
+        until = chance.uniform(since + 0.5, CALM_FROM)
+        what = chance.choice((*OF_ENDPOINTS, "door", "drain", "replace", "kill", "reports-down"))
+        whom, end = chance.choice(ENDPOINTS), round(until, 3)
+        if what in ("door", "kill"):
+            whom = f"f{chance.randrange(forwarders)}"
+        elif what == "reports-down":
+            whom = "all"
+        faults.append(Fault(round(since, 3), None if what == "kill" else end, what, whom))
+    faults.sort(key=lambda f: (f.since, f.what, f.whom))
+    return Plan(seed, tuple(faults), forwarders=forwarders)
+
+
 def _released(chance: random.Random, begins: float) -> list[Fault]:
     """Endpoints that are drained or replaced within six seconds."""
     faults = []
@@ -187,7 +217,7 @@
     return faults
 
 
-DRAWS = {"mixed": draw, "release": release, "pushed": pushed}
+DRAWS = {"mixed": draw, "release": release, "pushed": pushed, "takeover": takeover}
 """The ways to draw a plan from a seed, by name."""
 
 
--- a/emberlatch/faults/world.py
+++ b/emberlatch/faults/world.py
@@ -24,6 +24,7 @@
 from emberlatch.faults.network import Network
 from emberlatch.faults.permitted import Permitted
 from emberlatch.faults.plan import ENDPOINTS, OF_ENDPOINTS, PARTNERS, Fault, Plan
+from emberlatch.faults.succession import Folder, Held, Inherited, VirtualLock, VirtualTalk, talk
 from emberlatch.net.http import parse_address
 from emberlatch.platform import Config, Platform
 from emberlatch.simlink import wire
@@ -39,6 +40,7 @@
     PartnerServer,
 )
 from emberlatch.standins.behaviour import OUTAGES, Keys
+from emberlatch.takeover import Owner, claim
 
 SLOTS, DISK_MB = 8, 0.4
 ASK_EVERY = 10.0
@@ -190,22 +192,56 @@
     known: dict[str, Any] = field(default_factory=dict)  # the list of its first start, old at the next ones
     spans: list[tuple[float, float]] = field(default_factory=list)  # in which nothing is overdue
     began: float = -1.0  # when the present stop or restart began, or -1
+    folder: Folder = field(default_factory=Folder)
+    held: Held | None = None  # the clients' listening socket, where processes follow each other
+    owner: Owner | None = None
+    successor: Process | None = None  # it has started, and does not own yet
 
     def start(self) -> None:
         """Start a process on what the disk holds."""
         self.disk.restart()
-        process = self.process = Process(self.name, descriptors=256)
-        process.died = self._died
-        self.run(self._boot(process))
-
-    def run(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run something in the present process."""
+        process = self.process = self._spawn()
+        self.run(self._boot(process, follows=False))
+
+    def _spawn(self) -> Process:
+        process = Process(self.name, descriptors=256)
+        process.died = lambda: self._died(process)
+        return process
+
+    def take_over(self, kill: str, after: float) -> None:
+        """Start a process beside the one that serves; one of the two may be killed so many seconds later."""
+        old = self.process
+        if old is None or not old.alive or self.successor is not None or self.began >= 0:
+            return
+        process = self.successor = self._spawn()
+        self.world.note("beside", self.name)
+        self.run(self._boot(process, follows=True), process)
+        if kill:
+            self.world.network.after(after, (old if kill == "kill-old" else process).kill)
+
+    def _reach(self, process: Process) -> VirtualTalk:
+        """What a process that follows talks to."""
+        owner, old = self.owner, self.process
+        if owner is None or old is None or not old.alive:
+            raise ConnectionRefusedError
+        here, there = talk(self.world.network, process, old)
+        self.run(owner.serve(there), old)
+        return here
+
+    def run(self, work: Coroutine[Any, Any, None], process: Process | None = None) -> None:
+        """Run something in the present process, or in another."""
         context = contextvars.copy_context()
-        assert self.process is not None
-        context.run(current.set, self.process)
+        process = process or self.process
+        assert process is not None
+        context.run(current.set, process)
         self.world.loop.create_task(work, context=context)
 
-    async def _boot(self, process: Process) -> None:
+    def _listen(self, address: tuple[str, int]) -> Any:
+        if self.held is not None and address == self.address:
+            return Inherited(self.held)
+        return self.world.network.listen(address)
+
+    async def _boot(self, process: Process, follows: bool) -> None:
         world = self.world
         known = self.known = self.known or world.directory.document()
         config = Config(
@@ -225,16 +261,27 @@
         machine = Machine(
             lambda: 1.8e9 + world.loop.time() + self.offset,
             lambda: "one",
-            world.network.listen,
+            self._listen,
             lambda _: self.disk,
         )
+        lock = VirtualLock(self.folder)
         try:
-            platform = self.platform = Platform(config, machine)
+            platform = Platform(config, machine)
             self._observe(platform)
-            await platform.start()
+            taken = await claim(lock, (lambda: self._reach(process)) if follows else None)
+            before, old = self.process, self.owner
+            self.process, self.platform = process, platform
+            self.successor = None if self.successor is process else self.successor
+            await platform.start(taken)
         except Exception as error:
             world.breach("crash", f"{self.name} did not start: {error!r}")
             return
+        self.owner = Owner(lock, platform, platform.tasks)
+        if taken is not None:
+            world.note("follows", self.name)
+            if old is not None and before is not None and before.alive:
+                self.run(self._end(before, old), before)
+            return
         draining = [m["id"] for m in known["members"] if m["phase"] != "SERVING"]
         if self.began >= 0:
             self.spans.append((self.began, world.now + 1.5))
@@ -256,12 +303,25 @@
 
         forwarder.handle = observed  # type: ignore[method-assign]
 
-    def _died(self) -> None:
+    async def _end(self, process: Process, owner: Owner) -> None:
+        """A process that another follows ends by itself."""
+        await owner.ended.wait()
+        process.kill()
+
+    def _died(self, process: Process) -> None:
         world = self.world
+        if process is self.successor:  # it owned nothing yet; who owned goes on, or is dead too
+            self.successor = None
+            if self.process is not None and not self.process.alive:
+                world.network.after(DOWN_FOR, self.start)
+            return
+        if process is not self.process:
+            return world.note("left", self.name)
         world.note("down", self.name)
         world.checks.down(world.now, self.name)
         self.began = self.began if self.began >= 0 else world.now
-        world.network.after(DOWN_FOR, self.start)
+        if self.successor is None:  # else that one finds the lock free
+            world.network.after(DOWN_FOR, self.start)
 
     def kill(self) -> None:
         """SIGKILL."""
@@ -363,6 +423,8 @@
             await self._add(name)
         await self.service.start()
         for forwarder in self.forwarders.values():
+            if any(fault.what == "takeover" for fault in self.plan.faults):
+                forwarder.held = Held(self.network, forwarder.address)
             forwarder.start()
         for fault in self.plan.faults:
             self.network.after(fault.since, self._begin, fault)
@@ -451,7 +513,7 @@
         elif what in ("drain", "remove", "replace"):
             self._list(fault, begins)
         else:
-            self._process(fault)
+            self._process(fault, begins)
 
     def _befall(self, fault: Fault, begins: bool) -> None:
         for endpoint in self.endpoints.values():
@@ -512,9 +574,9 @@
             if f"{name}.2" not in self.endpoints:
                 self.loop.create_task(self._add(f"{name}.2"))
 
-    def _process(self, fault: Fault) -> None:
+    def _process(self, fault: Fault, begins: bool) -> None:
         forwarder = self.forwarders.get(fault.whom)
-        if forwarder is None:
+        if forwarder is None or not (begins or fault.what == "door"):
             return
         match fault.what:
             case "kill":
@@ -526,6 +588,12 @@
             case "kill-at":
                 after, moment = fault.how.split()
                 forwarder.disk.kill_at = forwarder.disk.calls + int(after), Moment(moment)
+            case "takeover":
+                kill, _, after = fault.how.partition(" ")
+                forwarder.take_over(kill, float(after or 0.0))
+            case "door":
+                if forwarder.platform is not None:
+                    forwarder.platform.server.drain(begins)
             case "move":
                 self.loop.create_task(self._move())
 
--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -93,9 +93,10 @@
         return not self.closed
 
     @property
-    def descriptor(self) -> int:
-        """That of its socket."""
-        return int(self._transport.get_extra_info("socket").fileno())
+    def descriptor(self) -> int | None:
+        """That of its socket, if it has one."""
+        own = self._transport.get_extra_info("socket")
+        return None if own is None else int(own.fileno())
 
     def close(self) -> None:
         """End the connection at once, whatever is out on it."""
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -341,8 +341,10 @@
         if busy or transport.is_closing() or transport.get_write_buffer_size():
             return None
         data = self._head if request is None or not request.headed else self._rebuilt(request)
-        proven = self in self.server._proven
-        return None if data is None else Kept(transport.get_extra_info("socket").fileno(), data, proven)
+        own = transport.get_extra_info("socket")
+        if data is None or own is None:
+            return None
+        return Kept(own.fileno(), data, self in self.server._proven)
 
     def _rebuilt(self, request: Request) -> bytes | None:
         """The bytes of a request whose head is whole and whose body is not."""
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -156,8 +156,8 @@
         for name, known in self._targets.items():
             while known.idle:
                 connection = self._take_idle(known)
-                if connection.usable:
-                    yield name, connection.descriptor
+                if connection.usable and (descriptor := connection.descriptor) is not None:
+                    yield name, descriptor
                 connection.close()
 
     async def adopt(self, target: bytes, connection: socket.socket) -> None:
--- a/emberlatch/process.py
+++ b/emberlatch/process.py
@@ -10,13 +10,14 @@
 import sys
 from collections.abc import Coroutine
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 from emberlatch.engine import REAL, Machine
 from emberlatch.engine.engine import GONE_AFTER
 from emberlatch.net.directory import UNREADABLE
 from emberlatch.platform import Config, ConfigError, Platform, read_config
-from emberlatch.takeover import Lock, Owner, Taken, claim, inherited, talk_path
+from emberlatch.takeover import Lock, Owner, Taken, claim, inherited, reach, talk_path
 
 log = logging.getLogger("emberlatch")
 
@@ -63,7 +64,7 @@
 async def _own(config: Config, lock: Lock, follows: bool, stop: asyncio.Event) -> Taken | None:
     """Wait for the folder to be ours; what the process before gave, if there was one that could."""
     if follows:
-        return await _unless(stop, claim(lock, talk_path(config.name)))
+        return await _unless(stop, claim(lock, partial(reach, talk_path(config.name))))
     try:
         async with asyncio.timeout(FREE):
             return await _unless(stop, claim(lock, None))
@@ -106,10 +107,10 @@
         raise ConfigError(f"limits.disk_mb: {error}") from error
     if not await _started(config, platform, lock, listener is not None, stop):
         return
-    owner = Owner(lock, talk_path(config.name), platform, platform.tasks)
+    owner = Owner(lock, platform, platform.tasks)
     if listener is not None:
         try:
-            owner.start()
+            owner.start(talk_path(config.name))
         except OSError as error:
             log.error("nobody can follow this process: %s", error)
     loop.add_signal_handler(signal.SIGHUP, _hang_up, platform, owner, reload)
--- a/emberlatch/takeover/__init__.py
+++ b/emberlatch/takeover/__init__.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from emberlatch.takeover.link import Frame, Link, LinkError, talk_path
+from emberlatch.takeover.link import Frame, Link, LinkError, Talk, reach, talk_path
 from emberlatch.takeover.listening import inherited
-from emberlatch.takeover.lock import Lock
+from emberlatch.takeover.lock import Lock, Owning
 from emberlatch.takeover.owner import Owner, Process
 from emberlatch.takeover.state import VERSION, StateError, checked
 from emberlatch.takeover.states import Giving, Reply, State
@@ -22,13 +22,16 @@
     "LinkError",
     "Lock",
     "Owner",
+    "Owning",
     "Process",
     "Reply",
     "State",
     "StateError",
     "Taken",
+    "Talk",
     "checked",
     "claim",
     "inherited",
+    "reach",
     "talk_path",
 ]
--- a/emberlatch/takeover/link.py
+++ b/emberlatch/takeover/link.py
@@ -15,7 +15,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 HEAD = struct.Struct(">IH")
 LONGEST = 16 * 1024 * 1024  # bytes of a frame
@@ -28,6 +28,24 @@
     """The other side is gone, or what it says cannot be read."""
 
 
+class Talk(Protocol):
+    """A connection between the two sides; everything raises LinkError where the other one is gone."""
+
+    closed: bool
+
+    def post(self, kind: str, **body: Any) -> None:
+        """Send a short frame at once."""
+
+    async def send(self, kind: str, body: dict[str, Any], descriptors: Sequence[int] = ()) -> None:
+        """Send a frame."""
+
+    async def receive(self) -> Frame | None:
+        """The next frame; None at the end."""
+
+    def close(self) -> None:
+        """End it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Frame:
     """What one side says: `kind` is in the object too. The descriptors belong to whoever got the frame."""
@@ -188,3 +206,8 @@
         use(f"/proc/self/fd/{folder}/{path.name}")
     finally:
         os.close(folder)
+
+
+def reach(path: Path) -> Link:
+    """A talk with who listens there; OSError if nobody does."""
+    return Link(connect(path))
--- a/emberlatch/takeover/lock.py
+++ b/emberlatch/takeover/lock.py
@@ -8,10 +8,25 @@
 import fcntl
 import os
 from pathlib import Path
+from typing import Protocol
 
 NAME = "lock"  # of an empty file, which takes no room on the disk
 
 
+class Owning(Protocol):
+    """Who owns, as far as the two sides ask."""
+
+    @property
+    def held(self) -> bool:
+        """Whether we own."""
+
+    def take(self) -> bool:
+        """Own if nobody does; whether we do."""
+
+    def free(self) -> None:
+        """Own no more."""
+
+
 class Lock:
     """The lock of one folder. Raises OSError where the file cannot be made."""
 
--- a/emberlatch/takeover/owner.py
+++ b/emberlatch/takeover/owner.py
@@ -14,8 +14,8 @@
 
 from emberlatch.core.interface import Outcome
 from emberlatch.engine import Tasks
-from emberlatch.takeover.link import MOST_DESCRIPTORS, Link, LinkError, listen
-from emberlatch.takeover.lock import Lock
+from emberlatch.takeover.link import MOST_DESCRIPTORS, Link, LinkError, Talk, listen
+from emberlatch.takeover.lock import Owning
 from emberlatch.takeover.state import VERSION, plain
 from emberlatch.takeover.states import Giving, Reply, State
 
@@ -63,10 +63,10 @@
 
 
 class Owner:
-    """Listens at a path for one that wants to follow."""
+    """Listens for one that wants to follow."""
 
-    def __init__(self, lock: Lock, path: Path, process: Process, tasks: Tasks) -> None:
-        self._lock, self._path, self._process, self._tasks = lock, path, process, tasks
+    def __init__(self, lock: Owning, process: Process, tasks: Tasks) -> None:
+        self._lock, self._process, self._tasks = lock, process, tasks
         self.giving = Giving(VERSION)
         self._listener: socket.socket | None = None
         self._outcomes: list[Outcome] = []
@@ -76,9 +76,9 @@
         self.ended = asyncio.Event()
         """This process has nothing left to do: another owns, and nothing is out."""
 
-    def start(self) -> None:
-        """Listen; OSError if that can't be."""
-        self._listener = listen(self._path)
+    def start(self, path: Path) -> None:
+        """Listen there; OSError if that can't be."""
+        self._listener = listen(path)
         asyncio.get_running_loop().add_reader(self._listener, self._accept)
 
     def close(self) -> None:
@@ -108,9 +108,10 @@
         )
         if user != os.getuid():
             return connection.close()
-        self._tasks.spawn(self._serve(Link(connection)))
+        self._tasks.spawn(self.serve(Link(connection)))
 
-    async def _serve(self, link: Link) -> None:
+    async def serve(self, link: Talk) -> None:
+        """Hear what one that has connected wants, and give way if it can be."""
         try:
             async with asyncio.timeout(ASK):
                 frame = await link.receive()
@@ -134,7 +135,7 @@
         finally:
             link.close()
 
-    async def _cut(self, link: Link) -> None:
+    async def _cut(self, link: Talk) -> None:
         log.info("takeover: another process asks; holding")
         began = asyncio.get_running_loop().time()
         await self._process.hold()
@@ -168,7 +169,7 @@
         for outcome in late:
             self._process.borrowed(outcome)
 
-    async def _reclaim(self, link: Link, broke: bool) -> None:
+    async def _reclaim(self, link: Talk, broke: bool) -> None:
         loop = asyncio.get_running_loop()
         lost = loop.time() + LOST if broke else None
         answer = asyncio.ensure_future(link.receive())
@@ -189,7 +190,7 @@
         finally:
             answer.cancel()
 
-    async def _lend(self, link: Link) -> None:
+    async def _lend(self, link: Talk) -> None:
         """Hand over what is open, then tell what comes back until nothing is out."""
         try:
             await self._hand_over(link)
@@ -213,7 +214,7 @@
             log.error("takeover: nobody is left to tell: %s", error)
             self.giving.unheard()
 
-    async def _hand_over(self, link: Link) -> None:
+    async def _hand_over(self, link: Talk) -> None:
         for kind, each in (
             ("clients", self._process.clients()),
             ("connections", self._process.connections()),
@@ -232,7 +233,7 @@
             log.info("takeover: %d %s handed over", number, kind)
 
 
-async def _send_all(link: Link, kind: str, descriptors: list[int], told: list[Any]) -> None:
+async def _send_all(link: Talk, kind: str, descriptors: list[int], told: list[Any]) -> None:
     try:
         if descriptors:
             await link.send(kind, {"each": told}, descriptors)
--- a/emberlatch/takeover/successor.py
+++ b/emberlatch/takeover/successor.py
@@ -5,13 +5,12 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Mapping
-from pathlib import Path
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from emberlatch.core.interface import Outcome
-from emberlatch.takeover.link import Frame, Link, LinkError, connect
-from emberlatch.takeover.lock import Lock
+from emberlatch.takeover.link import Frame, LinkError, Talk
+from emberlatch.takeover.lock import Owning
 from emberlatch.takeover.state import VERSION, StateError, checked, lent, outcome
 from emberlatch.takeover.states import Reply
 
@@ -41,7 +40,7 @@
 class Taken:
     """What the owner gave; see `engine.Taken`."""
 
-    def __init__(self, link: Link, state: Mapping[str, Any]) -> None:
+    def __init__(self, link: Talk, state: Mapping[str, Any]) -> None:
         self.module: Mapping[str, Any] = state["module"]
         self.lent = lent(state)
         self.waits: list[tuple[str | int, float]] = [(bound, until) for bound, until in state["waits"]]
@@ -89,18 +88,18 @@
                 log.info("takeover: a frame of kind %r is passed over", kind)
 
 
-async def claim(lock: Lock, path: Path | None) -> Taken | None:
+async def claim(lock: Owning, reach: Callable[[], Talk] | None) -> Taken | None:
     """Wait until the lock is ours; what its owner gave, or None where only the journal tells.
 
-    Without a path nobody can be asked.
+    `reach` connects to the owner, or raises OSError; without it nobody can be asked.
     """
     while not lock.take():
-        if path is not None:
+        if reach is not None:
             try:
-                taken = await _ask(lock, path)
+                taken = await _ask(lock, reach)
             except StateError as error:
                 log.error("takeover: %s; waiting for the owner to end", error)
-                path = None
+                reach = None
                 continue
             except (LinkError, TimeoutError) as error:
                 log.error("takeover: the owner did not give way: %r", error)
@@ -111,10 +110,10 @@
     return None
 
 
-async def _ask(lock: Lock, path: Path) -> Taken | None:
+async def _ask(lock: Owning, reach: Callable[[], Talk]) -> Taken | None:
     """Ask the owner to give way; None if it is to be asked again."""
     try:
-        link = Link(connect(path))
+        link = reach()
     except OSError:  # nobody is there yet, or any more
         return None
     try:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -399,3 +399,50 @@
             assert (await peer.next()).headers["x-request-id"] == "long"  # it goes alone
 
     run(test())
+
+
+def test_a_call_that_is_given_up_may_have_run_and_ends_its_connection() -> None:
+    async def test() -> None:
+        async with Peer(silence) as peer:
+            caller = Caller(peer.address)
+            items = [Item(n, 0, f"m{n}", "k", b"x", 10.0) for n in range(2)]
+            caller.targets.call(TARGET, items)
+            seen = await peer.next()
+            caller.targets.cancel(0, 1)  # no such attempt
+            caller.targets.cancel(0, 0)
+            first = await caller.outcomes.get()
+            assert (first.ref, first.result) == (0, Result.CANCELLED)
+            assert caller.targets.out == 1  # the other message waits on
+            caller.targets.cancel(1, 0)
+            assert (await caller.outcomes.get()).result is Result.CANCELLED
+            assert await seen.reader.read() == b""  # which frees the slot at the target
+            while caller.targets.out:
+                await asyncio.sleep(0)
+            assert caller.outcomes.empty() and not caller.targets._calls
+
+    run(test())
+
+
+def test_a_message_that_was_given_up_and_is_delivered_after_all_is_over() -> None:
+    """Its call went on for others, and the answer says ok of it too."""
+    told = asyncio.Event()
+
+    async def handle(exchange: Exchange) -> None:
+        await told.wait()
+        await exchange.answer(200, b"m0 ok\r\nm1 ok\r\n")
+
+    async def test() -> None:
+        async with Peer(handle) as peer:
+            caller = Caller(peer.address)
+            caller.targets.call(TARGET, [Item(n, 0, f"m{n}", "k", b"x", 10.0) for n in range(2)])
+            await peer.next()
+            caller.targets.cancel(0, 0)
+            assert (await caller.outcomes.get()).result is Result.CANCELLED
+            told.set()
+            ends = [await caller.outcomes.get() for _ in range(2)]
+            assert sorted((o.ref, o.result, o.closed) for o in ends) == [
+                (0, Result.OK, True),
+                (1, Result.OK, True),
+            ]
+
+    run(test())
