A process between two others passes on what the first carries

A second takeover while calls of the first were out: the process in the middle counted only its own calls as out, ended, and the third took what the first still carried for broken, while the first did not notice that nobody was left to tell.

Change: what the process before carries counts as out in the one that gives way, its outcomes go on over the next link, and a predecessor watches its link, so that it ends, and its calls with it, when that breaks.

--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -301,10 +301,21 @@
             self._frozen.append(what)
         return self._frozen is not None
 
-    def borrower_gone(self) -> None:
+    @property
+    def lent(self) -> int:
+        """Attempts that the process before this one carries still."""
+        return len(self._lent)
+
+    def lent_back(self, outcome: api.Outcome) -> None:
+        """One of them is back; where another process follows this one it is for that one to hear."""
+        self._lent.pop((outcome.ref, outcome.attempt), None)
+
+    def lost(self) -> list[api.Outcome]:
         """The process that carries our calls can tell no more: those without an outcome may have run."""
-        for (ref, attempt), target in list(self._lent.items()):
-            self.outcome(api.Outcome(ref, attempt, target, api.Result.RESET, 0.0))
+        return [
+            api.Outcome(ref, attempt, target, api.Result.RESET, 0.0)
+            for (ref, attempt), target in self._lent.items()
+        ]
 
     # What calls, discovery and notices bring.
 
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -159,6 +159,7 @@
         )
         engine.join([self.server], self.targets, self.directory, self.notices)
         self._serving = False
+        self._report: Callable[[api.Outcome], None] | None = None  # where outcomes go while we give way
         self.operators: Operators | None = None
         if config.operators is not None:
             self.operators = Operators(config.operators, self._calls(), tasks, machine)
@@ -202,11 +203,13 @@
 
     def freeze(self, report: Callable[[api.Outcome], None]) -> dict[str, Any]:
         module = self.engine.freeze()
+        self._report = report
         self.targets.report_to(report)
         known = self.directory.document(self.targets.addresses())
         return {"module": module, "waits": self.targets.waits(), "known": known}
 
     def thaw(self) -> None:
+        self._report = None
         self.targets.report_to(self.engine.outcome)
         self.engine.thaw()
         self.server.unhold()
@@ -227,7 +230,7 @@
 
     @property
     def out(self) -> int:
-        return self.targets.out
+        return self.targets.out + self.engine.lent
 
     @property
     def has_clients(self) -> bool:
@@ -244,10 +247,12 @@
     def borrowed(self, outcome: api.Outcome) -> None:
         if outcome.hold > 0:
             self.targets.told_by(outcome.target, outcome.hold)
-        self.engine.outcome(outcome)
+        self.engine.lent_back(outcome)
+        (self._report or self.engine.outcome)(outcome)
 
     def borrower_gone(self) -> None:
-        self.engine.borrower_gone()
+        for outcome in self.engine.lost():
+            self.borrowed(outcome)
 
     def figures(self) -> str:
         """The operators' figures, as text."""
--- a/emberlatch/takeover/owner.py
+++ b/emberlatch/takeover/owner.py
@@ -55,7 +55,7 @@
 
     @property
     def out(self) -> int:
-        """Calls that are out."""
+        """Calls that are out, and attempts that the process before carries."""
 
     @property
     def has_clients(self) -> bool:
@@ -191,12 +191,18 @@
             answer.cancel()
 
     async def _lend(self, link: Talk) -> None:
-        """Hand over what is open, then tell what comes back until nothing is out."""
+        """Hand over what is open, then tell what comes back until nothing is out.
+
+        What the process before us carries still is out too: what it tells us goes on to the one behind.
+        """
+        gone = asyncio.ensure_future(link.receive())
         try:
             await self._hand_over(link)
             self._process.leave()
             until = asyncio.get_running_loop().time() + LEFT
             while self._process.out or self._outcomes:
+                if gone.done():
+                    raise LinkError("the other side is gone")
                 told, self._outcomes = self._outcomes, []
                 if told:
                     await link.send("outcomes", {"each": [plain(outcome) for outcome in told]})
@@ -213,6 +219,11 @@
         except LinkError as error:
             log.error("takeover: nobody is left to tell: %s", error)
             self.giving.unheard()
+        finally:
+            gone.cancel()
+            await asyncio.wait({gone})
+            if not gone.cancelled():
+                gone.exception()
 
     async def _hand_over(self, link: Talk) -> None:
         for kind, each in (
--- a/tests/faults/mutations.py
+++ b/tests/faults/mutations.py
@@ -530,11 +530,13 @@
 
 @planted
 def a_broken_link_says_never_ran() -> Any:
-    def gone(self: Engine) -> None:
-        for (ref, attempt), target in list(self._lent.items()):
-            self.outcome(Outcome(ref, attempt, target, Result.CONNECT_FAILED, 0.0))
+    def lost(self: Engine) -> list[Outcome]:
+        return [
+            Outcome(ref, attempt, target, Result.CONNECT_FAILED, 0.0)
+            for (ref, attempt), target in self._lent.items()
+        ]
 
-    return patch.object(Engine, "borrower_gone", gone)
+    return patch.object(Engine, "lost", lost)
 
 
 @planted
--- a/tests/faults/test_seeds.py
+++ b/tests/faults/test_seeds.py
@@ -54,6 +54,11 @@
     assert followed > 10
 
 
+def test_what_is_lent_twice_is_counted_by_the_last() -> None:
+    """A second takeover while calls of the first are out, and the process in the middle is killed."""
+    assert not play(takeover(1103)).breaches
+
+
 @pytest.mark.parametrize("path", PLANS, ids=lambda path: path.stem)
 def test_kept_plans_break_nothing(path: Path) -> None:
     report = play(parse(path.read_text()))
--- a/tests/takeover/test_processes.py
+++ b/tests/takeover/test_processes.py
@@ -238,6 +238,51 @@
     run(test)
 
 
+def test_a_call_that_hangs_over_two_cuts_is_told_through_the_one_in_the_middle(tmp_path: Path) -> None:
+    """Found by seed 1103: the one in the middle ended, and what the first carried was taken for broken."""
+
+    async def test() -> None:
+        gate = Gate()
+        async with machine(tmp_path, gate) as (platform, target, ends):
+            first = await platform.ready()
+            client = await platform.client()
+            assert await client.hand_in("m1", **ORDER) == 202
+            out = await gate.held.get()
+            second = await platform.ready()
+            third = await platform.ready()
+            assert (await figures(third.operators))["concurrent"] == 1
+            assert first.process.returncode is None and second.process.returncode is None
+            await out.answer(200)
+            told = await until(third.operators, {"concurrent": 0})
+            assert told["success.order"] == 1 and ends.notices.empty()
+            assert [await first.ended(), await second.ended()] == [0, 0]
+            assert target.seen.qsize() == 1
+
+    run(test)
+
+
+def test_the_first_of_three_ends_its_calls_when_the_one_in_the_middle_is_killed(tmp_path: Path) -> None:
+    """Nobody could hear of them: they must not run on beside those that the third sends."""
+
+    async def test() -> None:
+        gate = Gate()
+        async with machine(tmp_path, gate) as (platform, _, _):
+            first = await platform.ready()
+            client = await platform.client()
+            assert await client.hand_in("m1") == 202
+            out = await gate.held.get()
+            second = await platform.ready()
+            third = await platform.ready()
+            second.process.kill()
+            while not out.writer.transport.is_closing():  # its connection is ended
+                await asyncio.sleep(0.01)
+            assert await first.ended() == 0
+            await (await gate.held.get()).answer(200)  # a safe message goes out again
+            await until(third.operators, {"success.status-update": 1})
+
+    run(test)
+
+
 def test_a_wait_told_over_the_link_is_kept(tmp_path: Path) -> None:
     async def test() -> None:
         gate = Gate()
