--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -174,7 +174,8 @@
     def status(self) -> dict[str, Any]:
         """What is held and owed, and what the module sees: for operators."""
         now = self._loop.time()
-        return {"held": len(self._held), "notices_owed": len(self._ended)} | view(self._forwarder, now)
+        own = {"held": len(self._held), "notices_owed": len(self._ended), "counts": self.tally.sums()}
+        return own | view(self._forwarder, now)
 
     def moved(self) -> None:
         """Membership is asked at another place from now on."""
--- a/emberlatch/engine/tally.py
+++ b/emberlatch/engine/tally.py
@@ -36,6 +36,13 @@
         """How often, since the process began."""
         return self._counts[name, category]
 
+    def sums(self) -> dict[str, int]:
+        """All counts since the process began, over all classes."""
+        passed = Counter[str]()
+        for (name, _), number in self._counts.items():
+            passed[name] += number
+        return dict(passed)
+
     def categories(self) -> set[str]:
         """The classes of which something was counted."""
         return {category for _, category in self._counts if category}
--- a/tests/engine/test_tally.py
+++ b/tests/engine/test_tally.py
@@ -8,6 +8,7 @@
 from benchmarks.fleet_logs import Sums, read
 from emberlatch.engine import Tally
 from emberlatch.engine.tally import MOST_TARGETS
+from emberlatch.operations import figures
 
 
 def test_a_line_tells_what_passed_since_the_last_one_and_nothing_else() -> None:
@@ -24,6 +25,16 @@
     assert told == {"for": 1.1, "all": {"taken": 1}, "targets": {}}
 
 
+def test_the_log_the_figures_and_the_status_are_views_of_one_count() -> None:
+    tally = Tally()
+    for category in ("payout", "payout", "order"):
+        tally.count("delivered", category)
+    assert json.loads(tally.line(9.0) or "")["all"] == tally.sums() == {"delivered": 3}
+    told = figures(tally, ["payout", "note"], 0, 0, 0)
+    assert "app.success.payout=2\n" in told and "app.success.note=0\n" in told
+    assert "app.success.order=1\n" in told  # of a class that was dropped
+
+
 def test_a_line_is_bounded_however_many_targets_there_are() -> None:
     tally = Tally()
     for number in range(3 * MOST_TARGETS):
