One builder for what the platform's forwarder and the standalone gateway both wire

Change: emberlatch/node.py makes these parts once and takes further fronts and a carrier in front of the HTTP one; the standalone gateway's folder is owned by takeover.Lock, its own copy of the lock goes. Ruled out: one class with a mode for both (each wiring would carry the other's settings); functions that each build a part (both callers would still know the order).

--- /dev/null
+++ b/emberlatch/node.py
@@ -0,0 +1,49 @@
+"""What every gateway is made of, whatever wires it: the engine on its journal, between the HTTP front and the
+HTTP carrier.
+
+`platform` and `standalone` add where endpoints are listed, where ends go, and any further front or carrier.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from emberlatch.core import interface as api
+from emberlatch.engine import REAL, Address, Carrier, End, Engine, Front, Machine, Membership, Tasks
+from emberlatch.net.api import Api
+from emberlatch.net.server import Server
+from emberlatch.net.targets import Targets
+from emberlatch.store import Files, Store
+
+
+class Node:
+    """The parts that all gateways share; `join` puts the others beside them and is called once."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        files: Files,
+        journal: int,
+        listen: Address,
+        places: tuple[int, int],
+        named: Callable[[str], int | None] = lambda _: None,
+        asked: Callable[[str], bytes | None] | None = None,
+        machine: Machine = REAL,
+    ) -> None:
+        """`journal` is the room of `files` in bytes, `places` the connections of clients and calls.
+
+        Raises ValueError if the room is too small for a journal.
+        """
+        clients, calls = places
+        self.tasks = tasks = Tasks()
+        self.store = Store(files, journal)
+        self.engine = engine = Engine(settings, seed, self.store, tasks, machine)
+        self.server = Server(listen, Api(engine.submit, named), clients, tasks, asked, machine)
+        self.targets = Targets(settings, calls, engine.outcome, tasks, engine.tally)
+
+    def join(
+        self, membership: Membership, end: End, fronts: Sequence[Front] = (), carrier: Carrier | None = None
+    ) -> None:
+        """Close the ring; `fronts` stand beside the HTTP one, `carrier` in front of the HTTP one."""
+        self.engine.join([self.server, *fronts], carrier or self.targets, membership, end)
--- a/emberlatch/platform.py
+++ b/emberlatch/platform.py
@@ -12,14 +12,12 @@
 from typing import Any
 
 from emberlatch.core import interface as api
-from emberlatch.engine import REAL, Address, Engine, Machine, Tasks
-from emberlatch.net.api import Api
+from emberlatch.engine import REAL, Address, Machine
 from emberlatch.net.directory import Directory
 from emberlatch.net.http import parse_address
 from emberlatch.net.limits import places
 from emberlatch.net.notices import Notices
-from emberlatch.net.server import Server
-from emberlatch.net.targets import Targets
+from emberlatch.node import Node
 from emberlatch.operations import PLACES, Call, Operators, figures, lacking, merged
 from emberlatch.simlink import wire
 from emberlatch.store import Store
@@ -140,12 +138,19 @@
         """Raises ValueError if the journal's room is too small."""
         self._discovery = config.discovery
         self._settings, self._document = config.settings, config.document
-        self.tasks = tasks = Tasks()
         self._files = machine.files
-        self.store = Store(self._files(config.state), config.journal_bytes)
-        self.engine = engine = Engine(config.settings, config.seed, self.store, tasks, machine)
-        self.server = Server(config.listen, Api(engine.submit), config.most_clients, tasks, machine=machine)
-        self.targets = Targets(config.settings, config.most_calls, engine.outcome, tasks, engine.tally)
+        node = Node(
+            config.settings,
+            config.seed,
+            self._files(config.state),
+            config.journal_bytes,
+            config.listen,
+            (config.most_clients, config.most_calls),
+            machine=machine,
+        )
+        self.tasks, self.store, self.engine = node.tasks, node.store, node.engine
+        self.server, self.targets = node.server, node.targets
+        tasks, engine = node.tasks, node.engine
         self.notices = Notices(config.discovery, engine.confirmed, tasks)
         self.directory = Directory(
             config.discovery,
@@ -157,7 +162,7 @@
             config.settings.forwarders,
             engine.tally,
         )
-        engine.join([self.server], self.targets, self.directory, self.notices)
+        node.join(self.directory, self.notices)
         self._serving = False
         self._report: Callable[[api.Outcome], None] | None = None  # where outcomes go while we give way
         self.operators: Operators | None = None
--- a/emberlatch/standalone/gateway.py
+++ b/emberlatch/standalone/gateway.py
@@ -4,11 +4,9 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import gc
 import json
 import logging
-import os
 import resource
 import secrets
 import signal
@@ -18,16 +16,14 @@
 from urllib.parse import urlsplit
 
 from emberlatch.config import Gateway, settings
-from emberlatch.engine import Engine, Tasks
 from emberlatch.inventory import InventoryMembership, Vocabulary
-from emberlatch.net.api import Api
 from emberlatch.net.limits import places
 from emberlatch.net.notices import Notices
-from emberlatch.net.server import Server
-from emberlatch.net.targets import Targets
+from emberlatch.node import Node
 from emberlatch.standalone.control import Control
 from emberlatch.standalone.ends import Ends
-from emberlatch.store import Folder, Store
+from emberlatch.store import Folder
+from emberlatch.takeover import Lock
 
 log = logging.getLogger(__name__)
 
@@ -46,45 +42,44 @@
 
     def __init__(self, config: Gateway) -> None:
         """Raises StartError, or RefusedError if there is no inventory to go by."""
-        self._config, self._tasks = config, Tasks()
+        self._config = config
         state = config.path(config.state)
         self._lock = _claim(state)
         try:
             self._make(config, state)
         except Exception:
-            self._tasks.cancel()
-            os.close(self._lock)
+            self._lock.close()
             raise
 
     def _make(self, config: Gateway, state: Path) -> None:
-        clients, calls = places(_descriptors(config.limits.sockets))
         journal = state / "journal"
         journal.mkdir(exist_ok=True)
-        told = settings(config)
         try:
-            store = Store(Folder(journal), config.limits.journal)
+            node = Node(
+                settings(config),
+                secrets.randbits(64),
+                Folder(journal),
+                config.limits.journal,
+                config.listen_address,
+                places(_descriptors(config.limits.sockets)),
+                named=lambda partner: self.membership.named(partner),
+                asked=self._asked if config.reports is None else None,
+            )
         except ValueError as error:
             raise StartError(f"limits.journal: {error}") from error
-        self.engine = engine = Engine(told, secrets.randbits(64), store, self._tasks)
+        self._tasks, self.engine = node.tasks, node.engine
+        self.server, self.targets = node.server, node.targets
         self.membership = InventoryMembership(
             [config.path(path) for path in config.inventory.paths],
             state,
             vocabulary(config),
             config.inventory.poll,
             config.inventory.settle,
-            engine.listed,
+            self.engine.listed,
             self._tasks,
         )
         self.ends: Ends | Notices = self._make_ends(state)
-        self.server = Server(
-            config.listen_address,
-            Api(engine.submit, self.membership.named),
-            clients,
-            self._tasks,
-            self._asked if isinstance(self.ends, Ends) else None,
-        )
-        self.targets = Targets(told, calls, engine.outcome, self._tasks, engine.tally)
-        engine.join([self.server], self.targets, self.membership, self.ends)
+        node.join(self.membership, self.ends)
         self._control = Control(state, {"status": self.status, "reload": self.reload})
 
     def _make_ends(self, state: Path) -> Ends | Notices:
@@ -113,7 +108,7 @@
         """End what can end in time and leave the rest to the journal."""
         self._control.stop()
         await self.engine.stop()
-        os.close(self._lock)
+        self._lock.close()
 
     async def reload(self) -> dict[str, Any]:
         """Look at the inventory now; what came of it."""
@@ -152,18 +147,16 @@
         return None if end is None else json.dumps({k: v for k, v in end.items() if k != "ref"}).encode()
 
 
-def _claim(state: Path) -> int:
-    """Make the folder and lock it, as long as the process lives."""
+def _claim(state: Path) -> Lock:
+    """Make the folder and own it as long as the process lives."""
     try:
         state.mkdir(parents=True, exist_ok=True)
-        lock = os.open(state / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        lock = Lock(state)
     except OSError as error:
         raise StartError(f"state: {error}") from error
-    try:
-        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
-        os.close(lock)
-        raise StartError(f"state: {str(state)!r} is in use by another gateway") from None
+    if not lock.take():
+        lock.close()
+        raise StartError(f"state: {str(state)!r} is in use by another gateway")
     return lock
 
 
