AS2's message layer, what receipts prove, and a book of states that outlasts the process

Need: some rural banks take orders only as AS2 messages (RFC 4130), and are turned away today.

Seen while building: a turned bit in AES-CBC let the MIME layer's error through, so a stranger could tell how far decryption got; a test that turns bits fails without the mend in message.unseal (all that goes wrong behind a decryption that no signature vouches for is told as authentication-failed).

--- /dev/null
+++ b/emberlatch/as2/errors.py
@@ -0,0 +1,37 @@
+"""What can be wrong with a received message, as the one that sent it is told."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Modifier(StrEnum):
+    """The error modifiers of a disposition (RFC 4130, 7.5.3 and 7.5.4; RFC 5402, 6)."""
+
+    AUTHENTICATION = "authentication-failed"
+    DECRYPTION = "decryption-failed"
+    DECOMPRESSION = "decompression-failed"
+    INTEGRITY = "integrity-check-failed"
+    SECURITY = "insufficient-message-security"
+    SAME_PARTY = "sender-equals-receiver"
+    UNEXPECTED = "unexpected-processing-error"
+    UNSUPPORTED = "unsupported format"
+
+
+class As2Error(Exception):
+    """A message that can't be taken in: the modifier its sender is told, and the cause for our log alone.
+
+    A signature that fails and a content that can't be decrypted are told alike: the difference would let a
+    stranger decrypt by asking (padding oracles, RFC 8551, 6).
+    """
+
+    def __init__(self, modifier: Modifier, cause: str) -> None:
+        super().__init__(f"{modifier}: {cause}")
+        self.modifier, self.cause = modifier, cause
+
+
+class MimeError(As2Error):
+    """What can't be read as MIME."""
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(Modifier.UNEXPECTED, cause)
--- /dev/null
+++ b/emberlatch/as2/mime.py
@@ -0,0 +1,147 @@
+"""MIME entities as AS2 needs them (RFC 2045, 2046): the bytes stay as they came, for signatures and MICs are
+reckoned over them.
+
+Everything is bounded: headers in number and bytes, parts in number, parameters in length.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import quopri
+import re
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from email.message import Message
+
+from emberlatch.as2.errors import MimeError
+
+MOST_HEADERS, MOST_HEAD = 64, 16 * 1024
+MOST_VALUE = 1024  # characters of a header that has parameters
+MOST_PARTS = 16
+
+_BLANK = re.compile(rb"\r?\n\r?\n")
+_NAME = re.compile(rb"[\x21-\x39\x3b-\x7e]{1,128}")
+_BOUNDARY = re.compile(r"[0-9A-Za-z'()+_,\-./:=? ]{1,70}")
+_BREAKS = re.compile(rb"\r\n|\r|\n")
+
+Headers = Sequence[tuple[str, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class Entity:
+    """Headers, and a body as it was transferred; `raw` is both with the blank line between, as they came."""
+
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    raw: bytes
+
+    def get(self, name: str) -> str:
+        """The first header of a name, unfolded; empty if there is none."""
+        return next((value for told, value in self.headers if told.lower() == name), "")
+
+    @property
+    def type(self) -> str:
+        """The media type in lower case, without parameters."""
+        return self.get("content-type").partition(";")[0].strip().lower() or "text/plain"
+
+    def param(self, name: str, header: str = "content-type") -> str:
+        """A parameter of a header; empty if there is none."""
+        return parameter(self.get(header), name)
+
+    def content(self) -> bytes:
+        """The body with its transfer encoding undone; raises MimeError."""
+        encoding = self.get("content-transfer-encoding").strip().lower()
+        if encoding in ("", "7bit", "8bit", "binary"):
+            return self.body
+        if encoding == "base64":
+            try:
+                return base64.b64decode(re.sub(rb"\s+", b"", self.body), validate=True)
+            except binascii.Error as error:
+                raise MimeError(f"base64: {error}") from error
+        if encoding == "quoted-printable":
+            return quopri.decodestring(self.body)
+        raise MimeError(f"transfer encoding {encoding[:40]!r}")
+
+
+def parameter(value: str, name: str) -> str:
+    """A parameter of a header's value; empty if there is none. Raises MimeError if it can't be read."""
+    if len(value) > MOST_VALUE:
+        raise MimeError(f"a header of {len(value)} characters with parameters")
+    message = Message()
+    message["X"] = value.replace("\r", " ").replace("\n", " ")
+    try:
+        told = message.get_param(name, "", "X")
+    except (ValueError, LookupError, TypeError) as error:
+        raise MimeError(f"a parameter cannot be read: {error}") from error
+    return told if isinstance(told, str) else str(told[2]) if told else ""
+
+
+def entity(raw: bytes) -> Entity:
+    """Read an entity; raises MimeError."""
+    if raw.startswith((b"\r\n", b"\n")):  # no headers
+        return Entity((), raw[2 if raw.startswith(b"\r") else 1 :], raw)
+    blank = _BLANK.search(raw, 0, MOST_HEAD)
+    if blank is None:
+        raise MimeError("no end of the headers")
+    return Entity(tuple(_headers(raw[: blank.start()])), raw[blank.end() :], raw)
+
+
+def of(headers: Headers, body: bytes) -> Entity:
+    """An entity whose headers came another way, as those of HTTP do."""
+    return Entity(tuple(headers), body, b"")
+
+
+def _headers(head: bytes) -> Iterator[tuple[str, str]]:
+    unfolded = re.sub(rb"\r?\n(?=[ \t])", b"", head)
+    lines = re.split(rb"\r?\n", unfolded)
+    if len(lines) > MOST_HEADERS:
+        raise MimeError(f"{len(lines)} headers")
+    for line in lines:
+        name, colon, value = line.partition(b":")
+        if not colon or not _NAME.fullmatch(name.rstrip(b" \t")):
+            raise MimeError(f"no header: {line[:40]!r}")
+        yield name.rstrip(b" \t").decode("ascii"), value.strip(b" \t").decode("latin-1")
+
+
+def compose(headers: Headers, body: bytes) -> bytes:
+    """An entity as bytes, in canonical form: lines of the head end in CRLF."""
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers)
+    return head.encode("ascii") + b"\r\n" + body
+
+
+def canonical(raw: bytes) -> bytes:
+    """Every line ended with CRLF (RFC 8551, 3.1.1): what text is signed as, whatever ends it had underway."""
+    return _BREAKS.sub(b"\r\n", raw)
+
+
+def parts(multipart: Entity) -> list[bytes]:
+    """The parts of a multipart body, each as it came; raises MimeError.
+
+    The line break ahead of a delimiter belongs to the delimiter (RFC 2046, 5.1.1). What stands before the
+    first and behind the last delimiter is passed over.
+    """
+    boundary = multipart.param("boundary")
+    if not _BOUNDARY.fullmatch(boundary) or boundary.endswith(" "):
+        raise MimeError(f"no boundary: {boundary[:40]!r}")
+    # A line break is looked at without being taken, for one between two delimiters belongs to both.
+    delimiter = re.compile(
+        rb"(?:\A|\r?\n)--" + re.escape(boundary.encode("ascii")) + rb"(--)?[ \t]*(?=\r?\n|\Z)"
+    )
+    found: list[bytes] = []
+    begin: int | None = None
+    for match in delimiter.finditer(multipart.body):
+        if begin is not None:
+            found.append(re.sub(rb"\A\r?\n", b"", multipart.body[begin : match.start()]))
+        if match[1]:
+            return found
+        if len(found) >= MOST_PARTS:
+            raise MimeError(f"over {MOST_PARTS} parts")
+        begin = match.end()
+    raise MimeError("a multipart body that does not end")
+
+
+def joined(parts_of: Sequence[bytes], boundary: str) -> bytes:
+    """A multipart body."""
+    delimiter = f"--{boundary}".encode("ascii")
+    return b"".join(b"%b\r\n%b\r\n" % (delimiter, part) for part in parts_of) + delimiter + b"--\r\n"
--- a/emberlatch/store/journal.py
+++ b/emberlatch/store/journal.py
@@ -9,19 +9,16 @@
 
 import json
 import logging
-import struct
-import zlib
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
 from emberlatch.store.files import Files
+from emberlatch.store.records import pack, unpack
 
 MAX_BODY = 64 * 1024  # bytes of a message's body
 
 log = logging.getLogger(__name__)
 
-_MARK = b"\xe5EL1"
-_HEAD = struct.Struct("<4sII")
 _MAX_RECORD = MAX_BODY + 4096
 _NAMES = ("id", "key", "category", "tenant", "destination", "deadline")  # beside what changes
 _OVERHEAD = 1536  # room for a message's state beside its body: all its attempts and its end
@@ -88,7 +85,7 @@
                 self._files.remove(name)
                 continue
             self._sizes[number] = len(data)
-            for payload in _records(data, name):
+            for payload in unpack(data, name):
                 try:
                     self._replay(number, payload)
                 except (ValueError, KeyError, TypeError) as error:
@@ -239,20 +236,4 @@
 
 
 def _record(state: dict[str, Any], body: bytes = b"") -> bytes:
-    payload = json.dumps(state, separators=(",", ":")).encode() + b"\n" + body
-    return _HEAD.pack(_MARK, len(payload), zlib.crc32(payload)) + payload
-
-
-def _records(data: bytes, name: str) -> list[bytes]:
-    """The payloads of the sound records; after a damaged one the search goes on at the next mark."""
-    found, at = [], 0
-    while (start := data.find(_MARK, at)) >= 0 and start + _HEAD.size <= len(data):
-        _, length, checksum = _HEAD.unpack_from(data, start)
-        payload = data[start + _HEAD.size : start + _HEAD.size + length]
-        if len(payload) == length and zlib.crc32(payload) == checksum:
-            found.append(payload)
-            at = start + _HEAD.size + length
-        else:
-            log.warning("journal %s: damaged record at byte %d passed over", name, start)
-            at = start + 1
-    return found
+    return pack(json.dumps(state, separators=(",", ":")).encode() + b"\n" + body)
--- /dev/null
+++ b/tests/as2/hostile.py
@@ -0,0 +1,83 @@
+"""Inputs meant to do harm, from a seed: real messages with bytes turned, cut, doubled and swapped."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from functools import cache
+
+from emberlatch.as2 import cms, mdn, mime
+from emberlatch.as2.errors import As2Error
+from emberlatch.as2.mdn import Mdn
+from emberlatch.as2.message import PLAIN, Format, Policy, seal, unseal
+from tests.as2.parties import NOW, identity, trust
+
+CONTENT = mime.compose((("Content-Type", "application/octet-stream"),), b"an order\r\n" * 8)
+RECEIPT = mdn.build(Mdn("a@b", mdn.PROCESSED, b"0123", "sha256", "bank", "taken"))
+TOKENS = [b"\r\n", b"\n", b"--", b";", b'"', b"\\", b"=", b"\x30\x80", b"\x24\x80", b"\xff" * 4, b"\x00" * 8]
+TOKENS += [b"Content-Type: multipart/signed\r\n", b'boundary="', b"A" * 300, b"/", b":"]
+
+
+@cache
+def real() -> list[bytes]:
+    """Whole messages, each as an entity."""
+    made = []
+    for content in (CONTENT, RECEIPT):
+        for wanted in (
+            PLAIN,
+            Format("sha256", ""),
+            Format("", "aes128_cbc"),
+            Format("sha256", "aes256_gcm", True),
+            Format("", "", True),
+        ):
+            sealed = seal(content, wanted, identity("ours"), trust("theirs"), NOW)
+            made.append(mime.compose(sealed.headers, sealed.body))
+    return made
+
+
+def drawn(seed: int) -> Iterator[bytes]:
+    """Inputs without end."""
+    random_ = random.Random(seed)
+    messages = real()
+    while True:
+        raw = bytearray(random_.choice(messages))
+        for _ in range(random_.randint(1, 4)):
+            at = random_.randrange(len(raw) + 1)
+            match random_.randrange(6):
+                case 0:
+                    raw[at : at + 1] = bytes([random_.randrange(256)])
+                case 1:
+                    del raw[at : at + random_.randint(1, 64)]
+                case 2:
+                    raw[at:at] = random_.choice(TOKENS)
+                case 3:
+                    raw[at:at] = raw[at : at + random_.randint(1, 200)]
+                case 4:
+                    other = random_.choice(messages)
+                    raw[at:] = other[random_.randrange(len(other)) :]
+                case _:
+                    if at < len(raw):
+                        raw[at] ^= 1 << random_.randrange(8)
+        yield bytes(raw)
+
+
+def take(raw: bytes) -> str:
+    """What the layers make of an input; anything but a verdict of theirs is raised."""
+    try:
+        opened = unseal(mime.entity(raw), identity("theirs"), trust("ours"), Policy(signed=False), NOW)
+        opened.mic("sha256")
+        if mdn.is_receipt(opened.content):
+            mdn.parse(opened.content)
+        opened.content.content()
+    except As2Error as error:
+        return error.modifier
+    return "read"
+
+
+def parsers(raw: bytes) -> None:
+    """The same input to the parsers below the layers, which may say no in their own words alone."""
+    for parse in (cms.kind, lambda der: cms.decompress(der, 4096)):
+        try:
+            parse(raw)
+        except As2Error:
+            continue
--- /dev/null
+++ b/tests/as2/test_layers.py
@@ -0,0 +1,233 @@
+"""The layers of a message: every combination, held against an independent reader and writer."""
+
+from __future__ import annotations
+
+import itertools
+import zlib
+
+import pytest
+from asn1crypto import cms as asn1
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.ciphers import algorithms
+from cryptography.hazmat.primitives.serialization import pkcs7
+
+from emberlatch.as2 import cms, mime
+from emberlatch.as2.certificates import CertificateError, Identity, Trust
+from emberlatch.as2.errors import As2Error, Modifier
+from emberlatch.as2.message import MOST_CONTENT, Format, Opened, Policy, Sealed, seal, unseal
+from tests.as2.parties import NOW, certificate, identity, key, trust
+
+CONTENT = mime.compose(
+    (("Content-Type", "application/edi-x12"), ("Content-Transfer-Encoding", "binary")),
+    b"ISA*00*\r\nlines\nof every\rkind\r\n\x00\xff--el-\r\n",
+)
+ANY = Policy(signed=False)
+
+
+def opened(sealed: Sealed, by: Identity, known: Trust, policy: Policy = ANY, now: float = NOW) -> Opened:
+    return unseal(mime.of(sealed.headers, sealed.body), by, known, policy, now)
+
+
+@pytest.mark.parametrize(
+    ("sign", "encrypt", "squeezed", "sender"),
+    [
+        (s, e, c, "ours")
+        for s, e, c in itertools.product(
+            ("", "sha256", "sha384", "sha512"), ("", *cms.CIPHERS), (False, True)
+        )
+    ]
+    + [("sha256", "aes128_cbc", False, "ec-ours"), ("sha512", "", True, "ec-ours")],
+)
+def test_every_combination_comes_back_with_the_same_mic(
+    sign: str, encrypt: str, squeezed: bool, sender: str
+) -> None:
+    sealed = seal(CONTENT, Format(sign, encrypt, squeezed), identity(sender), trust("theirs"), NOW)
+    got = opened(sealed, identity("theirs"), trust(sender), Policy(bool(sign), bool(encrypt)))
+    assert got.content.body == mime.entity(CONTENT).body
+    assert got.content.get("content-type") == "application/edi-x12"
+    assert got.mic(sealed.digest) == (sealed.mic, sealed.digest)
+    assert len(got.layers) == bool(sign) + bool(encrypt) + squeezed
+
+
+def test_the_mic_of_a_plain_message_is_over_its_content_alone() -> None:
+    sealed = seal(CONTENT, Format("", "", False), identity("ours"), trust("theirs"), NOW)
+    assert sealed.mic == cms.digest("sha256", mime.entity(CONTENT).body)
+    sealed = seal(CONTENT, Format("", "aes128_cbc", False), identity("ours"), trust("theirs"), NOW)
+    assert sealed.mic == cms.digest("sha256", CONTENT)
+
+
+@pytest.mark.parametrize("cipher", ["aes128_cbc", "aes256_cbc"])
+def test_another_reader_decrypts_ours(cipher: str) -> None:
+    der = cms.encrypt(CONTENT, certificate("theirs"), cipher)
+    told = pkcs7.pkcs7_decrypt_der(der, certificate("theirs"), key("theirs"), [])  # type: ignore[arg-type]
+    assert told == CONTENT
+
+
+@pytest.mark.parametrize("cipher", [algorithms.AES128, algorithms.AES256])
+def test_we_decrypt_what_another_writer_encrypted(
+    cipher: type[algorithms.AES128 | algorithms.AES256],
+) -> None:
+    builder = pkcs7.PKCS7EnvelopeBuilder().set_data(CONTENT).add_recipient(certificate("theirs"))
+    der = builder.set_content_encryption_algorithm(cipher).encrypt(
+        serialization.Encoding.DER, [pkcs7.PKCS7Options.Binary]
+    )
+    assert cms.decrypt(der, identity("theirs"))[0] == CONTENT
+
+
+@pytest.mark.parametrize("sender", ["ours", "ec-ours"])
+@pytest.mark.parametrize("detached", [True, False])
+def test_we_verify_what_another_writer_signed(sender: str, detached: bool) -> None:
+    options = [pkcs7.PKCS7Options.Binary] + [pkcs7.PKCS7Options.DetachedSignature] * detached
+    builder = pkcs7.PKCS7SignatureBuilder().set_data(CONTENT)
+    builder = builder.add_signer(certificate(sender), key(sender), hashes.SHA384())
+    der = builder.sign(serialization.Encoding.DER, options)
+    signed = cms.verify(der, CONTENT if detached else None, trust(sender), NOW)
+    assert (signed.digest, signed.content) == ("sha384", CONTENT)
+
+
+def test_ours_is_laid_out_as_another_writer_does() -> None:
+    """No second reader of signatures is at hand: the structure is held against a second writer's."""
+    theirs = pkcs7.PKCS7SignatureBuilder().set_data(CONTENT)
+    theirs = theirs.add_signer(certificate("ours"), key("ours"), hashes.SHA256())
+    options = [pkcs7.PKCS7Options.Binary, pkcs7.PKCS7Options.DetachedSignature]
+    told = asn1.ContentInfo.load(theirs.sign(serialization.Encoding.DER, options))["content"]
+    own = cms.sign(CONTENT, certificate("ours"), key("ours"), "sha256", NOW)
+    ours = asn1.ContentInfo.load(own, strict=True)["content"]
+    for field in ("version", "digest_algorithms", "encap_content_info", "certificates"):
+        assert ours[field].dump() == told[field].dump(), field
+    one, other = ours["signer_infos"][0], told["signer_infos"][0]
+    assert one["sid"].dump() == other["sid"].dump()
+    kinds = {a["type"].native: a["values"] for a in other["signed_attrs"]}
+    for attribute in one["signed_attrs"]:
+        if attribute["type"].native != "signing_time":
+            assert attribute["values"].dump() == kinds[attribute["type"].native].dump()
+    # Signed over the attributes as a sorted SET OF, by plain arithmetic.
+    public = certificate("ours").public_key()
+    from cryptography.hazmat.primitives.asymmetric import padding, rsa
+
+    assert isinstance(public, rsa.RSAPublicKey)
+    over = b"\x31" + one["signed_attrs"].dump()[1:]
+    public.verify(one["signature"].native, over, padding.PKCS1v15(), hashes.SHA256())
+
+
+@pytest.mark.parametrize("sign", ["sha256", ""])
+@pytest.mark.parametrize("cipher", sorted(cms.CIPHERS))
+def test_failures_of_signature_and_decryption_are_told_alike(sign: str, cipher: str) -> None:
+    sealed = seal(CONTENT, Format(sign, cipher, False), identity("ours"), trust("theirs"), NOW)
+    told = set()
+    for at in range(len(sealed.body) - 64, len(sealed.body), 7):
+        spoilt = bytearray(sealed.body)
+        spoilt[at] ^= 1
+        try:
+            opened(Sealed(sealed.headers, bytes(spoilt), b"", ""), identity("theirs"), trust("ours"))
+        except As2Error as error:
+            told.add(error.modifier)
+    told |= {told_to(sealed, identity("other"), trust("ours"))}
+    if sign:
+        told |= {told_to(sealed, identity("theirs"), trust("other"))}
+    assert told == {Modifier.AUTHENTICATION}
+
+
+def told_to(sealed: Sealed, by: Identity, known: Trust, policy: Policy = ANY, now: float = NOW) -> Modifier:
+    with pytest.raises(As2Error) as caught:
+        opened(sealed, by, known, policy, now)
+    return caught.value.modifier
+
+
+def test_what_lacks_a_layer_that_is_asked_for_is_turned_down() -> None:
+    plain = seal(CONTENT, Format("", "", False), identity("ours"), trust("theirs"), NOW)
+    signed = seal(CONTENT, Format("sha256", "", False), identity("ours"), trust("theirs"), NOW)
+    assert told_to(plain, identity("theirs"), trust("ours"), Policy()) is Modifier.SECURITY
+    wanted = Policy(signed=True, encrypted=True)
+    assert told_to(signed, identity("theirs"), trust("ours"), wanted) is Modifier.SECURITY
+
+
+def test_sha1_counts_only_where_it_is_allowed() -> None:
+    sealed = seal(CONTENT, Format("sha1", "", False), identity("ours"), trust("theirs"), NOW)
+    assert told_to(sealed, identity("theirs"), trust("ours")) is Modifier.AUTHENTICATION
+    got = opened(sealed, identity("theirs"), trust("ours"), Policy(sha1=True))
+    assert got.mic() == (sealed.mic, "sha1")
+
+
+def test_a_bomb_is_not_unpacked() -> None:
+    packed, block = zlib.compressobj(9), bytes(1 << 20)
+    first, other = (packed.compress(block) + packed.flush(zlib.Z_FULL_FLUSH) for _ in range(2))
+    data = first + 1023 * other  # behind a full flush the same bytes mean the same again
+    assert len(data) < 1_100_000
+    der = asn1.ContentInfo(
+        {
+            "content_type": "compressed_data",
+            "content": asn1.CompressedData(
+                {
+                    "version": "v0",
+                    "compression_algorithm": {"algorithm": "zlib"},
+                    "encap_content_info": {"content_type": "data", "content": data},
+                }
+            ),
+        }
+    ).dump()
+    bomb = mime.of((("Content-Type", "application/pkcs7-mime; smime-type=compressed-data"),), der)
+    with pytest.raises(As2Error) as caught:
+        unseal(bomb, identity("theirs"), trust("ours"), ANY, NOW)
+    assert caught.value.modifier is Modifier.DECOMPRESSION
+
+
+def test_layers_without_end_are_turned_down() -> None:
+    inner = CONTENT
+    for _ in range(12):
+        inner = mime.compose(
+            (("Content-Type", "application/pkcs7-mime; smime-type=compressed-data"),), cms.compress(inner)
+        )
+    with pytest.raises(As2Error, match="layers"):
+        unseal(mime.entity(inner), identity("theirs"), trust("ours"), ANY, NOW)
+
+
+def test_a_certificate_that_ended_yesterday_signs_nothing_and_is_not_written_to() -> None:
+    over = certificate("old", since=-30.0, until=-1.0)
+    then = Identity(((over, key("old")),))
+    sealed = seal(CONTENT, Format("sha256", "", False), then, trust("theirs"), NOW - 86400 * 5)
+    assert told_to(sealed, identity("theirs"), Trust((over,))) is Modifier.AUTHENTICATION
+    with pytest.raises(CertificateError):
+        seal(CONTENT, Format("", "aes128_cbc", False), identity("ours"), Trust((over,)), NOW)
+    with pytest.raises(CertificateError):
+        seal(CONTENT, Format("sha256", "", False), then, trust("theirs"), NOW)
+
+
+def test_a_rollover_goes_through_both_certificates() -> None:
+    """The old one still opens and verifies, the new one is written to as soon as it is told and holds."""
+    both = identity("theirs", "theirs-new")
+    sealed = seal(CONTENT, Format("sha256", "aes128_cbc", False), identity("ours"), trust("theirs"), NOW)
+    assert opened(sealed, both, trust("ours-new", "ours")).layers
+    old, new = certificate("theirs"), certificate("theirs-next", until=730.0)
+    assert Trust((old, new)).recipient(NOW) is new
+    later = certificate("theirs-later", since=5.0, until=900.0)
+    assert Trust((old, later)).recipient(NOW) is old
+
+
+def test_a_chain_counts_where_an_authority_vouches_for_the_name() -> None:
+    root = certificate("root", authority=True)
+    leaf = certificate("bank", issuer="root")
+    other = certificate("stranger", issuer="root")
+    for cert, name, good in ((leaf, "bank", True), (other, "stranger", False)):
+        der = cms.sign(CONTENT, cert, key(name), "sha256", NOW)
+        known = Trust((), (root,), "bank")
+        if good:
+            assert cms.verify(der, CONTENT, known, NOW).signer == leaf
+        else:
+            with pytest.raises(As2Error):
+                cms.verify(der, CONTENT, known, NOW)
+    alone = cms.sign(CONTENT, certificate("bank"), key("bank"), "sha256", NOW)
+    with pytest.raises(As2Error):
+        cms.verify(alone, CONTENT, Trust((), (root,), "bank"), NOW)
+
+
+def test_a_certificate_that_comes_along_is_not_believed() -> None:
+    der = cms.sign(CONTENT, certificate("other"), key("other"), "sha256", NOW)
+    with pytest.raises(As2Error, match="no signer"):
+        cms.verify(der, CONTENT, trust("ours"), NOW)
+
+
+def test_a_large_content_is_turned_down() -> None:
+    large = mime.of((("Content-Type", "text/plain"),), bytes(MOST_CONTENT + 1))
+    with pytest.raises(As2Error, match="over"):
+        unseal(large, identity("theirs"), trust("ours"), ANY, NOW)
--- /dev/null
+++ b/tests/as2/test_mdn.py
@@ -0,0 +1,137 @@
+"""Receipts, ours and others'."""
+
+from __future__ import annotations
+
+import base64
+
+import pytest
+
+from emberlatch.as2 import mdn, mime
+from emberlatch.as2.errors import MimeError, Modifier
+from emberlatch.as2.mdn import Disposition, Mdn
+
+# Laid out as the example of RFC 4130, appendix A.2: folded fields, a MIC by `sha1`, prose of several lines.
+EXAMPLE = b"""Content-Type: multipart/report;\r
+ report-type=disposition-notification;\r
+ boundary="----=_Part_336_6069110.1034887086496"\r
+\r
+------=_Part_336_6069110.1034887086496\r
+Content-Type: text/plain\r
+Content-Transfer-Encoding: 7bit\r
+\r
+MDN for -\r
+ Message ID: <200207310834482A70BF63@\\"~~foo~~\\">\r
+ Status: processed\r
+\r
+------=_Part_336_6069110.1034887086496\r
+Content-Type: message/disposition-notification\r
+Content-Transfer-Encoding: 7bit\r
+\r
+Reporting-UA: AS2 Server\r
+Original-Recipient: rfc822; 0123456780000\r
+Final-Recipient: rfc822; 0123456780000\r
+Original-Message-ID: <200207310834482A70BF63@\\"~~foo~~\\">\r
+Received-content-MIC: 7v7F++fQaNB1sVLFtMRp+dF+eG4=, sha1\r
+Disposition: automatic-action/MDN-sent-automatically;\r
+ processed\r
+\r
+------=_Part_336_6069110.1034887086496--\r
+"""
+
+
+def test_the_example_of_the_standard_is_read() -> None:
+    read = mdn.parse(mime.entity(EXAMPLE))
+    assert read.original == '200207310834482A70BF63@\\"~~foo~~\\"'
+    assert read.disposition == Disposition("processed")
+    assert (read.mic, read.digest) == (base64.b64decode("7v7F++fQaNB1sVLFtMRp+dF+eG4="), "sha1")
+    assert read.recipient == "0123456780000" and read.text.startswith("MDN for")
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        Mdn("a@b", mdn.PROCESSED, b"\x01\x02", "sha256", "bank", "taken on"),
+        Mdn("a@b", mdn.DUPLICATE, b"\x01", "sha512", "bank", "again"),
+        *(Mdn("a@b", mdn.refusal(modifier), recipient="bank") for modifier in Modifier),
+    ],
+)
+def test_ours_is_read_as_it_was_meant(told: Mdn) -> None:
+    assert mdn.parse(mime.entity(mdn.build(told))) == told
+    assert mdn.build(told) == mdn.build(told)
+
+
+def notice(fields: str) -> mime.Entity:
+    human = b"Content-Type: text/plain\r\n\r\nx"
+    machine = b"Content-Type: message/disposition-notification\r\n\r\n" + fields.encode()
+    kind = 'multipart/report; report-type=disposition-notification; boundary="b"'
+    return mime.of((("Content-Type", kind),), mime.joined([human, machine], "b"))
+
+
+@pytest.mark.parametrize(
+    ("told", "found"),
+    [
+        ("automatic-action/MDN-sent-automatically;processed", Disposition("processed")),
+        ("automatic-action/MDN-sent-automatically; processed/Error: decryption-failed", None),
+        ("manual-action/MDN-sent-manually; Failed/Failure: unsupported format", None),
+        ("a/b;  processed / warning :  duplicate-document ", None),
+    ],
+)
+def test_dispositions_as_people_spell_them(told: str, found: Disposition | None) -> None:
+    read = mdn.parse(notice(f"Original-Message-ID: <a@b>\r\nDisposition: {told}\r\n"))
+    if found is not None:
+        assert read.disposition == found
+    else:
+        assert read.disposition.modifier in ("error", "failure", "warning") and read.disposition.text
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        "Original-Message-ID: <a@b>\r\n",
+        "Disposition: a/b; processed\r\n",
+        "Original-Message-ID: <a@b>\r\nDisposition: processed\r\n",
+        "Original-Message-ID: <a@b>\r\nDisposition: a/b; " + "x" * 500 + "\r\n",
+        "nothing",
+        "",
+    ],
+)
+def test_a_notice_that_says_too_little_is_turned_down(fields: str) -> None:
+    with pytest.raises(MimeError):
+        mdn.parse(notice(fields))
+
+
+@pytest.mark.parametrize("mic", ["", "x", "AA==", "AA==, md5", "%%, sha256", ", sha256", "AA==, "])
+def test_a_mic_that_cannot_be_read_is_none(mic: str) -> None:
+    fields = f"Original-Message-ID: <a@b>\r\nDisposition: a/b; processed\r\nReceived-Content-MIC: {mic}\r\n"
+    assert mdn.parse(notice(fields)).digest == ""
+
+
+def test_what_is_no_receipt_is_turned_down() -> None:
+    for headers in (
+        "text/plain",
+        "multipart/report; boundary=b",
+        "multipart/report; report-type=delivery-status",
+    ):
+        with pytest.raises(MimeError):
+            mdn.parse(mime.of((("Content-Type", headers),), b"x"))
+    report = 'multipart/report; report-type=disposition-notification; boundary="b"'
+    with pytest.raises(MimeError, match="without"):
+        mdn.parse(mime.of((("Content-Type", report),), mime.joined([b"\r\nx"], "b")))
+
+
+@pytest.mark.parametrize(
+    ("options", "found"),
+    [
+        (mdn.ASKED.format("sha-256"), (True, "sha256")),
+        ("signed-receipt-protocol=required,pkcs7-signature; signed-receipt-micalg=optional,md5,SHA512", None),
+        ("", (False, "sha256")),
+        ("signed-receipt-protocol; =; ;;;", (False, "sha256")),
+    ],
+)
+def test_what_is_asked_of_a_receipt(options: str, found: tuple[bool, str] | None) -> None:
+    assert mdn.wanted(options) == (found or (True, "sha512"))
+
+
+def test_text_for_people_cannot_write_headers() -> None:
+    told = mdn.build(Mdn("a@b", mdn.PROCESSED, recipient="x", text="a\r\n\r\n--b\r\nX: y\x00ü"))
+    assert mdn.parse(mime.entity(told)).text == "a    --b  X: y"
--- /dev/null
+++ b/tests/as2/test_mime.py
@@ -0,0 +1,116 @@
+"""Entities as they come: bytes kept for signatures, odd spellings read, what is hostile turned down."""
+
+from __future__ import annotations
+
+import pytest
+
+from emberlatch.as2 import mime, names
+from emberlatch.as2.errors import MimeError
+
+BODY = b"--b\r\nA: 1\r\n\r\none\r\n--b\r\n\r\ntwo\r\n--b--\r\nbehind"
+
+
+def multipart(body: bytes, boundary: str = "b") -> mime.Entity:
+    return mime.of((("Content-Type", f'multipart/mixed; boundary="{boundary}"'),), body)
+
+
+def test_parts_are_given_back_to_the_byte() -> None:
+    assert mime.parts(multipart(BODY)) == [b"A: 1\r\n\r\none", b"\r\ntwo"]
+    assert mime.parts(multipart(BODY.replace(b"\r\n", b"\n"))) == [b"A: 1\n\none", b"\ntwo"]
+
+
+@pytest.mark.parametrize(
+    ("body", "found"),
+    [
+        (b"ahead\r\n--b\r\n\r\nx\r\n--b--", [b"\r\nx"]),
+        (b"--b \t\r\n\r\nx\r\n--b-- ", [b"\r\nx"]),
+        (b"--b\r\n\r\nx--b\r\n--b--", [b"\r\nx--b"]),  # not at the start of a line
+        (b"--b\r\n\r\n--bee\r\n--b--", [b"\r\n--bee"]),  # a longer word
+        (b"--b\r\n\r\nx\r\n\r\n--b--", [b"\r\nx\r\n"]),  # one line break is the content's own
+        (b"--b\r\n\r\nx\r--b\r\n--b--", [b"\r\nx\r--b"]),
+        (b"--b\r\n--b--", [b""]),
+        (b"--b--", []),
+    ],
+)
+def test_boundaries_in_odd_places(body: bytes, found: list[bytes]) -> None:
+    assert mime.parts(multipart(body)) == found
+
+
+@pytest.mark.parametrize("body", [b"", b"--b\r\n\r\nx", b"--b\r\n\r\nx\r\n--c--", b"--b\r\n\r\n" * 40])
+def test_a_multipart_that_does_not_end_is_turned_down(body: bytes) -> None:
+    with pytest.raises(MimeError):
+        mime.parts(multipart(body))
+
+
+@pytest.mark.parametrize("boundary", ["", "x" * 71, "a\r\nb", "b ", "bö"])
+def test_a_boundary_that_is_none_is_turned_down(boundary: str) -> None:
+    with pytest.raises(MimeError):
+        mime.parts(multipart(BODY, boundary))
+
+
+def test_folded_headers_are_one() -> None:
+    read = mime.entity(b"Content-Type: a/b;\r\n\tname=x;\r\n  boundary=c\r\nX : y \r\n\r\nbody")
+    assert (read.type, read.param("boundary"), read.get("x"), read.body) == ("a/b", "c", "y", b"body")
+
+
+def test_base64_and_binary_are_the_same_content() -> None:
+    plain = mime.entity(b"Content-Transfer-Encoding: binary\r\n\r\n\x00\xff")
+    coded = mime.entity(b"Content-Transfer-Encoding: BASE64 \n\nAP\n8=\n")
+    quoted = mime.entity(b"Content-Transfer-Encoding: quoted-printable\n\n=00=FF")
+    assert plain.content() == coded.content() == quoted.content() == b"\x00\xff"
+    for spoilt in (b"base64\n\nA", b"base64\n\n%%%%", b"x-uuencode\n\nA"):
+        with pytest.raises(MimeError):
+            mime.entity(b"Content-Transfer-Encoding: " + spoilt).content()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"no headers at all",
+        b"A: 1\r\nno header\r\n\r\n",
+        b"A: 1\r\n: nameless\r\n\r\n",
+        b"A: 1\r\n" * 200 + b"\r\n",
+        b"A: " + b"x" * 20_000 + b"\r\n\r\n",
+    ],
+)
+def test_heads_that_are_none_are_turned_down(raw: bytes) -> None:
+    with pytest.raises(MimeError):
+        mime.entity(raw)
+
+
+def test_a_parameter_without_bound_is_turned_down() -> None:
+    with pytest.raises(MimeError):
+        mime.parameter("a/b; " + '";' * 2000, "boundary")
+
+
+def test_canonical_form_ends_every_line_alike() -> None:
+    assert mime.canonical(b"a\nb\r\nc\rd") == b"a\r\nb\r\nc\r\nd"
+
+
+@pytest.mark.parametrize("name", ["bank", "National Office", 'a "quoted" \\ one', "x" * 128, "a;b", "~"])
+def test_names_survive_their_quotes(name: str) -> None:
+    assert names.unquoted(names.quoted(name)) == name
+
+
+@pytest.mark.parametrize("name", ["", "x" * 129, "ümlaut", "a\r\nX: b", "\t"])
+def test_what_can_be_no_name_is_turned_down(name: str) -> None:
+    with pytest.raises(ValueError):
+        names.quoted(name)
+
+
+@pytest.mark.parametrize("text", ["", "a b", '"a', 'a"b', '"a\\x"', '"' + "x" * 129 + '"', "x" * 129, '""'])
+def test_a_name_that_cannot_be_read_is_turned_down(text: str) -> None:
+    with pytest.raises(MimeError):
+        names.unquoted(text)
+
+
+def test_message_ids_with_and_without_brackets_are_one() -> None:
+    # As the examples of RFC 4130 have them: quotes and backslashes stand in it.
+    assert (
+        names.message_id('<200207310834482A70BF63@\\"~~foo~~\\">') == '200207310834482A70BF63@\\"~~foo~~\\"'
+    )
+    assert names.message_id(" a@b ") == names.message_id("<a@b>") == "a@b"
+    for text in ("", "<>", "<a b>", "a>b", "<" + "x" * 300 + ">", "<a\nb>"):
+        with pytest.raises(MimeError):
+            names.message_id(text)
--- a/tests/faults/mutations.py
+++ b/tests/faults/mutations.py
@@ -22,7 +22,7 @@
 from emberlatch.net.notices import Notices
 from emberlatch.net.targets import Targets
 from emberlatch.platform import Platform
-from emberlatch.store import Store
+from emberlatch.store import Store, records
 from emberlatch.store import journal as store_journal
 from emberlatch.takeover import Owner
 
@@ -299,15 +299,15 @@
 
 @planted
 def torn_record_stops_the_start() -> Any:
-    real = store_journal._records
+    real = records.unpack
 
-    def records(data: bytes, name: str) -> list[bytes]:
+    def unpack(data: bytes, name: str) -> list[bytes]:
         found = real(data, name)
         if sum(len(payload) + 12 for payload in found) != len(data):
             raise ValueError("damaged")
         return found
 
-    return patch.object(store_journal, "_records", records)
+    return patch.object(store_journal, "unpack", unpack)
 
 
 @planted
