A carrier is a wording over a shared pool of calls; a front says its path and bounds

Need: the AS2 carrier needs the same endpoints, drains, told waits, pooled connections and time-outs as the HTTP one, and its front the same slow and hostile clients; both stood inside one protocol's code.

Change: net/calls.py (Calls) holds what every carrier shares, with hooks for wording a call, for what takes time ahead of a connection, and for what an answer means; net/targets.py keeps the platform's wording alone. That a first line with 200 is a delivery is the platform's promise and stands there now. A call whose answer is read but says nothing yet can go on waiting, and be cancelled. net/server.py takes its path, its largest body and its single headers; an answer may have headers of its own. http.connect takes a TLS context; ssl is still not loaded on the platform.

What fails after an answer was read leaves the message in doubt: an OSError there would have been taken for a call that never ran.

--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -5,12 +5,16 @@
 import asyncio
 import select
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import httptools
 
 from emberlatch.engine import Address
 from emberlatch.store import MAX_BODY
 
+if TYPE_CHECKING:  # the platform's process does without, see `__main__`
+    import ssl
+
 MAX_HEAD = 16 * 1024  # bytes of a request's or an answer's head
 REST = 0.3  # seconds in which an answer that has begun must be whole: what then lacks won't come
 
@@ -106,8 +110,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        # With no room above zero, pause and resume tell when bytes wait in user space.
-        transport.set_write_buffer_limits(high=0)
+        # With no room above zero, pause and resume tell when bytes wait in user space. Under TLS they tell it
+        # of that layer alone, which would pause at none: `written` then comes early, so that a call that
+        # broke off may be taken for one that ran, never the other way round.
+        transport.set_write_buffer_limits(high=0 if transport.get_extra_info("sslcontext") is None else 1)
 
     def pause_writing(self) -> None:
         self.written = False
@@ -194,9 +200,11 @@
         self._succeed()
 
 
-async def connect(address: Address, timeout: float, most: int = MAX_BODY) -> Connection:
+async def connect(
+    address: Address, timeout: float, most: int = MAX_BODY, tls: ssl.SSLContext | None = None
+) -> Connection:
     """Open a connection for answers of at most so many bytes; OSError if it does not come up in time."""
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
-        _, connection = await loop.create_connection(lambda: Connection(most), *address)
+        _, connection = await loop.create_connection(lambda: Connection(most), *address, ssl=tls)
     return connection
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping, Set
 from dataclasses import dataclass, field
 from urllib.parse import unquote
 
@@ -23,6 +23,7 @@
     200: "OK",
     202: "Accepted",
     400: "Bad Request",
+    403: "Forbidden",
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
@@ -32,7 +33,7 @@
     500: "Internal Server Error",
     503: "Service Unavailable",
 }
-PATHS = {b"/api": b"POST", b"/healthz": b"GET"}
+HEALTH = b"/healthz"
 MESSAGES = b"/messages/"  # and an id: how a message ended, where the installation keeps that
 SINGLE = {
     "content-length",
@@ -46,6 +47,7 @@
     "x-timeout-ms",
 }
 """Headers that a request has once: of two, another reader could believe the other."""
+NONE: Mapping[str, str] = {}
 SOUND = {200, 202, 429, 503}  # answers to requests that were in order
 SLOW = 2.0  # seconds for a new connection's first request, for a request to come in, for answers to be read
 IDLE = 5.0  # seconds that a connection may stand between two requests
@@ -90,16 +92,21 @@
         return self._client.transport.is_closing()
 
     def send(
-        self, status: int, retry_after: float | None = None, allow: bytes = b"", body: bytes = b""
+        self,
+        status: int,
+        retry_after: float | None = None,
+        body: bytes = b"",
+        headers: Mapping[str, str] = NONE,
     ) -> None:
-        """Answer, once; a body is JSON."""
+        """Answer, once; a body is JSON unless the headers say what it is."""
         if status in SOUND:
             self._client.server.proved(self._client)
         self.keep_alive = self.keep_alive and not self._client.server.leaving
         head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {len(body)}\r\n"
-        head += "Content-Type: application/json\r\n" if body else ""
+        head += "Content-Type: application/json\r\n" if body and not headers else ""
         head += f"Retry-After: {retry_after:.3f}\r\n" if retry_after is not None else ""
-        head += f"Allow: {allow.decode()}\r\n" if allow else ""
+        for name, value in headers.items():
+            head += f"{name}: {value}\r\n"
         head += "\r\n" if self.keep_alive else "Connection: close\r\n\r\n"
         self.data = head.encode() + body
         self._client.flush()
@@ -119,8 +126,14 @@
         tasks: Tasks,
         asked: Callable[[str], bytes | None] | None = None,
         machine: Machine = REAL,
+        path: bytes = b"/api",
+        most_body: int = MAX_BODY,
+        single: Set[str] = SINGLE,
     ) -> None:
+        """Messages are posted to `path`, with so many bytes at most and `single` headers once."""
         self.submit, self.asked = submit, asked
+        self.paths = {path: b"POST", HEALTH: b"GET"}
+        self.most_body, self.single = most_body, single
         self.stopping = self.draining = self.held = False
         self._address, self._most, self._tasks, self._machine = address, most_clients, tasks, machine
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
@@ -415,7 +428,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._request is not None
         key = name.decode("latin-1").lower()
-        if key in SINGLE and key in self._request.headers:
+        if key in self.server.single and key in self._request.headers:
             raise self._unreadable(400)
         self._request.headers[key] = value.decode("latin-1")
 
@@ -425,14 +438,14 @@
         self._request.method, self._request.headed = self._parser.get_method(), True
         if self._parser.should_upgrade() or ("content-length" in headers and "transfer-encoding" in headers):
             raise self._unreadable(400)
-        if int(headers.get("content-length", 0)) > MAX_BODY:
+        if int(headers.get("content-length", 0)) > self.server.most_body:
             raise self._unreadable(413)
         if headers.get("expect", "").lower() == "100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         assert self._request is not None
-        if len(self._request.body) + len(body) > MAX_BODY:
+        if len(self._request.body) + len(body) > self.server.most_body:
             raise self._unreadable(413)
         self._request.body += body
 
@@ -445,11 +458,11 @@
         if asked is not None and path.startswith(MESSAGES) and request.method == b"GET":
             told = asked(unquote(path[len(MESSAGES) :].decode("latin-1")))
             reply.send(404) if told is None else reply.send(200, body=told)
-        elif path not in PATHS:
+        elif path not in self.server.paths:
             reply.send(404)
-        elif request.method != PATHS[path]:
-            reply.send(405, allow=PATHS[path])
-        elif path == b"/healthz":
+        elif request.method != self.server.paths[path]:
+            reply.send(405, headers={"Allow": self.server.paths[path].decode()})
+        elif path == HEALTH:
             reply.send(503 if self.server.leaving else 200)
         else:
             try:
--- a/emberlatch/net/targets.py
+++ b/emberlatch/net/targets.py
@@ -1,26 +1,18 @@
-"""Calls to targets: a pool of connections, single and batched calls, and what came back of them."""
+"""The HTTP carrier: single and batched calls to targets, and what came back of them."""
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
-import socket
-from collections.abc import Callable, Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Iterator, Sequence
 
-from emberlatch.core.interface import Entry, Outcome, Phase, Result, Settings
-from emberlatch.engine import Address, Addresses, Item, Tally, Tasks
-from emberlatch.net.http import BrokenError, Connection, Response, connect
-from emberlatch.store import MAX_BODY
+from emberlatch.core.interface import Result
+from emberlatch.engine import Address, Item
+from emberlatch.net.calls import Call, Calls, Endpoint, seconds
+from emberlatch.net.http import BrokenError, Response
 
 log = logging.getLogger(__name__)
 
-LONGEST_WAIT = 3600.0  # seconds; a told wait beyond that, or one that is infinite, is cut to it
-IDLE_MARGIN = 2.0  # seconds before the target's idle time from which on a connection is not used
-GRACE_USED = 0.8  # share of a drain's grace after which nothing goes out: a late turn must not break it
-
 ENDS = {
     "ok": (Result.OK, True),
     "error": (Result.ERROR, False),
@@ -42,201 +34,19 @@
 """What an answer says of all messages of its call; any other status may follow work that ran."""
 
 
-@dataclass(slots=True)
-class _Target:
-    """What is known of a target that the list names, or that a call is still out to."""
-
-    entry: Entry
-    address: Address
-    shut_from: float = math.inf  # a drain: nothing goes out from then on
-    gone: bool = False  # the list names it no more
-    idle: list[Connection] = field(default_factory=list)
-    out: int = 0  # calls
-
-
-class Targets:
-    """Carries out calls on so many connections; `report` gets one outcome for each message of each."""
-
-    def __init__(
-        self,
-        settings: Settings,
-        most: int,
-        report: Callable[[Outcome], None],
-        tasks: Tasks,
-        tally: Tally | None = None,
-    ) -> None:
-        self._settings, self._most, self._report, self._tasks = settings, most, report, tasks
-        self._tally = tally or Tally()
-        self._targets: dict[bytes, _Target] = {}
-        self._leaving: set[bytes] = set()  # gone, with a call out still
-        self._waits: dict[bytes | int, float] = {}  # told waits, by what they bind: a target or a destination
-        self._used: dict[Connection, _Target] = {}  # the idle ones, the longest unused first
-        self._out = 0
-        self._calls: dict[tuple[int, int], _Call] = {}  # by message and attempt, while it has no outcome
-
-    @property
-    def out(self) -> int:
-        """Calls that have no outcome yet."""
-        return self._out
-
-    def update(self, entries: Sequence[Entry], addresses: Addresses, whole: bool) -> None:
-        """Take what discovery tells: where targets are, and which want nothing new."""
-        now = asyncio.get_running_loop().time()
-        shut_from = now + GRACE_USED * self._settings.rules.drain_grace
-        for entry in entries:
-            address = addresses[entry.target]
-            target = self._targets.setdefault(entry.target, _Target(entry, address))
-            if target.address != address:
-                self.close_idle(entry.target)
-            target.entry, target.address = entry, address
-            target.gone = entry.phase is Phase.GONE
-            self._leaving.discard(entry.target)
-            if target.gone:
-                self._leaving.add(entry.target)
-            ready = entry.phase is Phase.READY
-            target.shut_from = math.inf if ready else min(target.shut_from, shut_from)
-        for name in self._targets.keys() - addresses.keys() if whole else ():
-            target = self._targets[name]
-            target.gone, target.shut_from = True, min(target.shut_from, shut_from)
-            self._leaving.add(name)
-        for name in list(self._leaving):
-            self._forget(name)
-        self._waits = {bound: until for bound, until in self._waits.items() if until > now}
-
-    def _forget(self, name: bytes) -> None:
-        """Every target is replaced sooner or later: what is gone must leave nothing behind."""
-        target = self._targets[name]
-        if target.gone and not target.out:
-            self.close_idle(name)
-            del self._targets[name]
-            self._leaving.discard(name)
-
-    def entry(self, target: bytes) -> Entry | None:
-        """What the list says of a target, unless it is gone."""
-        known = self._targets.get(target)
-        return known.entry if known is not None else None
-
-    def call(self, target: bytes, items: list[Item]) -> None:
-        """Start a call."""
-        call, known = _Call(target, items, lambda outcome: self._report(outcome)), self._targets.get(target)
-        if known is None:
-            return call.settle_all(Result.MOOT)
-        self._out += 1
-        known.out += 1
-        self._calls.update(((item.ref, item.attempt), call) for item in items)
-        self._tasks.spawn(self._run(known, call))
-
-    # Another process follows this one.
+class Targets(Calls):
+    """Calls in the platform's protocol."""
 
-    def waits(self) -> list[tuple[str | int, float]]:
-        """Told waits: what each binds, and until when."""
-        return [(b.decode() if isinstance(b, bytes) else b, until) for b, until in self._waits.items()]
+    def _request(self, target: Endpoint, call: Call) -> bytes:
+        return _request(target.address, call.items)
 
-    def told(self, waits: Iterable[tuple[str | int, float]]) -> None:
-        """Keep waits that another process was told."""
-        for bound, until in waits:
-            name = bound.encode() if isinstance(bound, str) else int(bound)
-            self._waits[name] = max(float(until), self._waits.get(name, -math.inf))
-
-    def told_by(self, target: bytes, hold: float) -> None:
-        """Keep a wait that a target told another process just now."""
-        if (known := self._targets.get(target)) is not None:
-            self._hold(known, hold)
-
-    def report_to(self, report: Callable[[Outcome], None]) -> None:
-        """Outcomes go elsewhere from now on, those of calls that are out too."""
-        self._report = report
-
-    def addresses(self) -> list[tuple[Entry, Address]]:
-        """What is listed now, and where it is."""
-        return [(known.entry, known.address) for known in self._targets.values() if not known.gone]
-
-    def give(self) -> Iterator[tuple[bytes, int]]:
-        """The idle connections, by target and descriptor; each is let go once the next is asked for."""
-        for name, known in self._targets.items():
-            while known.idle:
-                connection = self._take_idle(known)
-                if connection.usable and (descriptor := connection.descriptor) is not None:
-                    yield name, descriptor
-                connection.close()
-
-    async def adopt(self, target: bytes, connection: socket.socket) -> None:
-        """Go on with an idle connection of the process before this one."""
-        connection.setblocking(False)
-        _, protocol = await asyncio.get_running_loop().create_connection(
-            lambda: Connection(MAX_BODY), sock=connection
-        )
-        if (known := self._targets.get(target)) is not None and len(self._used) + self._out < self._most:
-            self._keep(known, protocol)
-        else:
-            protocol.close()
-
-    def cancel(self, ref: int, attempt: int) -> None:
-        """Wait no longer for one message of a call that is written; with the last one its connection ends."""
-        if (call := self._calls.get((ref, attempt))) is not None:
-            call.cancel(ref, attempt)
-
-    def close_idle(self, target: bytes) -> None:
-        """Close the idle connections to a target."""
-        known = self._targets.get(target)
-        while known is not None and known.idle:
-            self._take_idle(known).close()
-
-    async def _run(self, target: _Target, call: _Call) -> None:
-        try:
-            await self._exchange(target, call)
-        except (OSError, BrokenError) as error:
-            never_ran = not (isinstance(error, BrokenError) and error.written)
-            if isinstance(error, BrokenError) and error.status == 200 and len(call.items) == 1:
-                call.settle_all(Result.OK, closed=True)  # a first line with 200 is a delivery
-            call.settle_all(Result.CONNECT_FAILED if never_ran else Result.RESET)
-        except Exception:  # costs the messages of this call, which may have run, and nothing else
-            log.exception("call to %r failed", call.target)
-            call.settle_all(Result.ERROR)
-        finally:
-            self._out -= 1
-            target.out -= 1
-            for item in call.given:
-                self._calls.pop((item.ref, item.attempt), None)
-            if target.gone and self._targets.get(call.target) is target:
-                self._forget(call.target)
+    def _broke(self, call: Call, error: BrokenError) -> None:
+        if error.status == 200 and len(call.items) == 1:
+            return call.settle_all(Result.OK, closed=True)  # a first line with 200 is a delivery
+        super()._broke(call, error)
 
-    async def _exchange(self, target: _Target, call: _Call) -> None:
-        connection = self._idle_connection(target)
-        if connection is None:
-            self._make_room()
-            self._tally.at(call.target, "connects")
-            coming = asyncio.ensure_future(connect(target.address, self._settings.connect_timeout))
-            try:
-                await call.wait_for(coming, lambda: False)
-            finally:
-                coming.cancel()
-            if not coming.done():
-                return
-            connection = coming.result()
-        if not (call.pending and self._open(target)):
-            # A wait or a drain was heard while the connection came up, or nobody waits any longer.
-            self._keep(target, connection)
-            return call.settle_all(Result.MOOT)
-        call.items = list(call.pending)
-        answer = connection.exchange(_request(target.address, call.items))
-        call.connection = connection
-        at_once = connection.written
-        self._tally.count("dispatches", by=len(call.items) * at_once)
-        try:
-            await call.wait_for(answer, lambda: connection.written)
-        finally:
-            self._tally.count("dispatches", by=len(call.items) * (connection.written and not at_once))
-            if answer.cancel():
-                connection.close()  # giving up a call ends its connection, and so frees its slot
-        if answer.cancelled():
-            return
-        response = answer.result()
-        self._keep(target, connection)
-        self._settle(target, call, response)
-
-    def _settle(self, target: _Target, call: _Call, response: Response) -> None:
-        hold = _seconds(response.headers.get("retry-after"))
+    async def _concluded(self, target: Endpoint, call: Call, response: Response) -> None:
+        hold = seconds(response.headers.get("retry-after"))
         report = tuple(_report(response.headers.get("x-server-load", ""), self._settings.report_fields))
         if hold > 0:
             self._hold(target, hold)
@@ -256,117 +66,6 @@
             log.warning("target %r answered %d", call.target, response.status)
         call.settle_all(result, closed, hold, report)
 
-    def _hold(self, target: _Target, seconds: float) -> None:
-        bound, until = self._bound(target), asyncio.get_running_loop().time() + seconds
-        self._waits[bound] = max(until, self._waits.get(bound, -math.inf))
-
-    def _bound(self, target: _Target) -> bytes | int:
-        """What a wait told by a target binds: itself, where routes are apart, else its destination."""
-        kind = target.entry.kind
-        apart = any(self._settings.separate_routes[kind : kind + 1])
-        return target.entry.target if apart else target.entry.destination
-
-    def _open(self, target: _Target) -> bool:
-        now = asyncio.get_running_loop().time()
-        return self._waits.get(self._bound(target), now) <= now < target.shut_from
-
-    def _idle_connection(self, target: _Target) -> Connection | None:
-        """The most recently used one; none that the target may be closing right now."""
-        oldest = asyncio.get_running_loop().time() - max(self._settings.connection_idle - IDLE_MARGIN, 0.0)
-        while target.idle:
-            connection = self._take_idle(target)
-            if connection.idle_since > oldest and connection.usable:
-                return connection
-            connection.close()
-        return None
-
-    def _take_idle(self, target: _Target) -> Connection:
-        connection = target.idle.pop()
-        del self._used[connection]
-        return connection
-
-    def _keep(self, target: _Target, connection: Connection) -> None:
-        if connection.closed:
-            return
-        if self._targets.get(target.entry.target) is not target or target.gone:
-            return connection.close()
-        for other in [other for other in target.idle if other.closed]:
-            target.idle.remove(other)
-            del self._used[other]
-        connection.idle_since = asyncio.get_running_loop().time()
-        target.idle.append(connection)
-        self._used[connection] = target
-
-    def _make_room(self) -> None:
-        """Before a new connection: with those of calls and the idle ones no more than allowed."""
-        while self._used and self._out + len(self._used) > self._most:
-            connection, target = next(iter(self._used.items()))
-            target.idle.remove(connection)
-            del self._used[connection]
-            connection.close()
-
-
-class _Call:
-    """A call that is out and the messages of it that have no outcome yet."""
-
-    def __init__(self, target: bytes, items: list[Item], report: Callable[[Outcome], None]) -> None:
-        self.target, self.items, self.given = target, items, items
-        self.connection: Connection | None = None  # once the call is written to it
-        self._started = asyncio.get_running_loop().time()
-        self.pending = {item: self._started + item.timeout for item in items}
-        self.late: list[Item] = []  # timed out while the call goes on for others: its answer may still say ok
-        self._report = report
-
-    async def wait_for(self, step: asyncio.Future[Any], written: Callable[[], bool]) -> None:
-        """Wait until a step is done; messages whose time is up before have their outcome then."""
-        loop = asyncio.get_running_loop()
-        while self.pending and not step.done():
-            await asyncio.wait({step}, timeout=max(0.0, min(self.pending.values()) - loop.time()))
-            if not step.done():
-                now, late = loop.time(), Result.TIMEOUT if written() else Result.CONNECT_FAILED
-                for item in [item for item, end in self.pending.items() if end <= now]:
-                    self.settle(item, late)
-                    self.late.append(item)
-
-    def cancel(self, ref: int, attempt: int) -> None:
-        """Nobody waits for this message any more."""
-        for item in [item for item in self.pending if (item.ref, item.attempt) == (ref, attempt)]:
-            if self.connection is not None and self.connection.written:
-                self.settle(item, Result.CANCELLED)
-                self.late.append(item)
-                if not self.pending:
-                    self.connection.close()
-
-    def settle_all(
-        self, result: Result, closed: bool = False, hold: float = 0.0, report: tuple[float, ...] = ()
-    ) -> None:
-        for item in list(self.pending):
-            self.settle(item, result, closed, hold, report)
-
-    def settle(
-        self,
-        item: Item,
-        result: Result,
-        closed: bool = False,
-        hold: float = 0.0,
-        report: tuple[float, ...] = (),
-    ) -> None:
-        del self.pending[item]
-        self.tell(item, result, closed, hold, report)
-
-    def tell(
-        self,
-        item: Item,
-        result: Result,
-        closed: bool = False,
-        hold: float = 0.0,
-        report: tuple[float, ...] = (),
-    ) -> None:
-        """Report an outcome; of an item that has had one, only that it is over after all."""
-        took = asyncio.get_running_loop().time() - self._started
-        note = round(hold * 1000)
-        self._report(Outcome(item.ref, item.attempt, self.target, result, took, closed, hold, note, report))
-
 
 def _request(address: Address, items: list[Item]) -> bytes:
     wait = max(1, round(1000 * max(item.timeout for item in items)))
@@ -391,15 +90,6 @@
         yield ref, end.strip()
 
 
-def _seconds(text: str | None) -> float:
-    """A told wait; what can't be read as one is none, and none is longer than any outage."""
-    try:
-        value = float(text or 0)
-    except ValueError:
-        return 0.0
-    return min(value, LONGEST_WAIT) if value > 0 else 0.0
-
-
 def _report(text: str, fields: Sequence[str]) -> Iterator[float]:
     """The values of a load report in the order of the settings' fields; nothing if there is none."""
     if text:
--- a/tests/faults/mutations.py
+++ b/tests/faults/mutations.py
@@ -16,7 +16,7 @@
 from emberlatch.directory import client as directory_client
 from emberlatch.engine.engine import Engine
 from emberlatch.faults.succession import VirtualLock
-from emberlatch.net import targets
+from emberlatch.net import calls, targets
 from emberlatch.net.directory import Directory
 from emberlatch.net.http import BrokenError
 from emberlatch.net.notices import Notices
@@ -68,13 +68,13 @@
 
 @planted
 def told_wait_is_not_read() -> Any:
-    return patch.object(targets, "_seconds", lambda text: 0.0)
+    return patch.object(targets, "seconds", lambda text: 0.0)
 
 
 @planted
 def told_wait_is_halved() -> Any:
-    real = targets._seconds
-    return patch.object(targets, "_seconds", lambda text: real(text) / 2)
+    real = calls.seconds
+    return patch.object(targets, "seconds", lambda text: real(text) / 2)
 
 
 @planted
@@ -348,7 +348,7 @@
 
     return _both(
         patch.object(Forwarder, "_outcome", outcome),
-        patch.object(targets._Call, "tell", _only_first(targets._Call.tell)),
+        patch.object(calls.Call, "tell", _only_first(calls.Call.tell)),
     )
 
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -172,7 +172,7 @@
 
 def test_a_call_is_held_back_once_the_grace_of_a_drain_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr("emberlatch.net.targets.GRACE_USED", 0.0)
+        monkeypatch.setattr("emberlatch.net.calls.GRACE_USED", 0.0)
         async with Peer(accept) as peer:
             caller = Caller(peer.address)
             caller.listed(Phase.DRAINING)
@@ -189,7 +189,7 @@
             await caller.call()
             await caller.call()
             assert peer.connections == 1
-            monkeypatch.setattr("emberlatch.net.targets.IDLE_MARGIN", 15.0)
+            monkeypatch.setattr("emberlatch.net.calls.IDLE_MARGIN", 15.0)
             await caller.call()
             assert peer.connections == 2
 
@@ -388,7 +388,7 @@
                 await up.wait()
                 return await connect(address, timeout)
 
-            monkeypatch.setattr("emberlatch.net.targets.connect", slow)
+            monkeypatch.setattr("emberlatch.net.calls.connect", slow)
             items = [Item(0, 0, "brief", "", b"x", 0.02), Item(1, 0, "long", "", b"x", 10.0)]
             caller.targets.call(TARGET, items)
             first = await caller.outcomes.get()
