AS2 partners: carrier, front, ledger and orders; partners that do anything to receipts

Need: a payout over AS2 has to end in exactly one final answer whatever becomes of its receipt, and orders that come in have to be taken on once.

The front reads folded headers, with control characters turned down by itself, for the parser does not in that mode.

--- a/emberlatch/as2/ledger.py
+++ b/emberlatch/as2/ledger.py
@@ -14,6 +14,9 @@
 from emberlatch.as2.judge import Said, Verdict
 
 MOST_DISPUTES, MOST_RECEIPTS = 8, 4  # that are kept of one message
+AGREED = (
+    600.0  # seconds for which one is remembered that has ended as its receipt says: the same may come again
+)
 
 ENDED_YET_PROCESSED = "ended {}, yet the partner processed it"
 DELIVERED_YET_REFUSED = "ended delivered, yet the partner refused it"
@@ -86,11 +89,15 @@
 
 
 def over(record: Record, now: float, remember: float) -> bool:
-    """Whether nothing more is to be expected: it has ended as its receipt says, or long ago."""
+    """Whether nothing more is to be expected: it ended some time ago as its receipt says, or long ago."""
     if not record.end or record.disputes:
         return False
-    agreed = (record.end == "delivered") == (record.said == Said.PROCESSED)
-    return (bool(record.said) and agreed) or now - record.ended > remember
+    return now - record.ended > (min(AGREED, remember) if agreed(record) else remember)
+
+
+def agreed(record: Record) -> bool:
+    """Whether the end is what a receipt says."""
+    return bool(record.said and record.end) and (record.end == "delivered") == (record.said == Said.PROCESSED)
 
 
 def _against_the_end(record: Record) -> None:
--- a/emberlatch/cli/common.py
+++ b/emberlatch/cli/common.py
@@ -8,7 +8,7 @@
 
 import click
 
-from emberlatch.config import ConfigProblems, Gateway, load
+from emberlatch.config import ConfigProblems, Gateway, load, words
 from emberlatch.inventory import Inventory, RefusedError, Vocabulary
 from emberlatch.inventory import load as load_inventory
 
@@ -30,11 +30,6 @@
         fail(error.problems)
 
 
-def words(config: Gateway) -> Vocabulary:
-    """The words that an installation's inventory may use."""
-    return Vocabulary(tuple(config.wings), tuple(config.kinds))
-
-
 def listed(paths: list[Path], vocabulary: Vocabulary) -> Inventory:
     """The set in some files and folders; all faults and exit 2 if there are any."""
     try:
--- a/emberlatch/cli/main.py
+++ b/emberlatch/cli/main.py
@@ -12,10 +12,11 @@
 import click
 
 from emberlatch import __version__
-from emberlatch.cli.common import PATH, configuration, fail, listed, words
+from emberlatch.cli.common import PATH, configuration, fail, listed
 from emberlatch.cli.demo import demo
 from emberlatch.cli.faults import faults
 from emberlatch.cli.inventory import inventory
+from emberlatch.config import words
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
--- a/emberlatch/config/schema.py
+++ b/emberlatch/config/schema.py
@@ -7,24 +7,18 @@
 from typing import Annotated, Any, Literal
 from urllib.parse import urlsplit
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, PrivateAttr, StrictInt, model_validator
+from pydantic import AfterValidator, Field, PrivateAttr, StrictInt, model_validator
 
+from emberlatch.config.as2 import As2
+from emberlatch.config.section import Name, Section, address
 from emberlatch.config.units import Duration, Size
 from emberlatch.core import interface as api
 from emberlatch.engine import Address
+from emberlatch.inventory.model import Vocabulary
 from emberlatch.net.http import parse_address
 
 Count = Annotated[StrictInt, Field(ge=1, le=10_000_000)]
 Number = Annotated[float, Field(ge=0, allow_inf_nan=False)]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
-
-
-def _address(text: str) -> str:
-    try:
-        parse_address(text)
-    except ValueError:
-        raise ValueError("must be host:port, like 127.0.0.1:8080") from None
-    return text
 
 
 def _url(text: str) -> str:
@@ -34,12 +28,6 @@
     return text
 
 
-class Section(BaseModel):
-    """A table of the file: nothing in it is guessed or passed over."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
 class Inventory(Section):
     """Where the endpoints are listed. A file changed in place is taken once it stood still for `settle`."""
 
@@ -123,7 +111,7 @@
     """The whole file."""
 
     inventory: Inventory
-    listen: Annotated[str, AfterValidator(_address)] = "127.0.0.1:8080"
+    listen: Annotated[str, AfterValidator(address)] = "127.0.0.1:8080"
     state: Annotated[str, Field(min_length=1)] = "state"
     reports: Annotated[str, AfterValidator(_url)] | None = None
     log: Literal["debug", "info", "warning", "error"] = "info"
@@ -139,6 +127,7 @@
     classes: Annotated[dict[Name, Class], Field(min_length=1)] = Field(default_factory=_classes)
     tenants: dict[Name, Tenant] = {}
     rules: Rules = Rules()
+    as2: As2 | None = None
     _folder: Path = PrivateAttr(Path("."))
 
     @property
@@ -192,6 +181,17 @@
     )
 
 
+def words(config: Gateway) -> Vocabulary:
+    """The words that an installation's inventory may use."""
+    return Vocabulary(
+        tuple(config.wings),
+        tuple(config.kinds),
+        ("http", "as2") if config.as2 is not None else ("http",),
+        tuple(config.as2.partners) if config.as2 is not None else (),
+        tuple(name for name, kind in config.kinds.items() if kind.batch > 1),
+    )
+
+
 def _category(name: str, item: Class) -> api.Category:
     values: dict[str, Any] = item.model_dump(exclude={"effect", "scope"})
     return api.Category(name=name, effect=EFFECTS[item.effect], scope=SCOPES[item.scope], **values)
--- a/emberlatch/engine/__init__.py
+++ b/emberlatch/engine/__init__.py
@@ -1,5 +1,6 @@
 """A message's life, whatever front it came by and whatever carrier takes it on."""
 
+from emberlatch.engine.carriers import Carriers
 from emberlatch.engine.engine import Engine
 from emberlatch.engine.machine import REAL, Listener, Machine
 from emberlatch.engine.seams import (
@@ -26,6 +27,7 @@
     "Answer",
     "BadMessageError",
     "Carrier",
+    "Carriers",
     "End",
     "Engine",
     "Front",
--- a/emberlatch/engine/engine.py
+++ b/emberlatch/engine/engine.py
@@ -68,6 +68,7 @@
         self._held: dict[int, Entry] = {}  # taken on, no end yet
         self._ended: dict[int, Entry] = {}  # ended by a notice that is not confirmed yet
         self._ids: set[str] = set()  # of those held
+        self.recovered: frozenset[str] = frozenset()  # ids of those that the journal held at the start
         self._events: list[api.Event] = []
         self._turn_due = False
         self._timer: asyncio.TimerHandle | None = None
@@ -99,6 +100,7 @@
         if taken is not None:
             taken.have()  # nothing is written before this
             self._lent = {(ref, attempt): target for ref, attempt, target in taken.lent}
+        self.recovered = frozenset(entry.id for entry in entries)
         self._offset = self._clock()
         now = self._wall()
         for entry in entries:
--- a/emberlatch/faults/run.py
+++ b/emberlatch/faults/run.py
@@ -70,7 +70,7 @@
     finally:
         logger.removeHandler(listener)
         logging.disable(logging.CRITICAL)
-        _abandon(loop)
+        abandon(loop)
         logging.disable(logging.NOTSET)
         logger.propagate = propagate
     return Report(
@@ -84,7 +84,7 @@
     )
 
 
-def _abandon(loop: VirtualLoop) -> None:
+def abandon(loop: VirtualLoop) -> None:
     """Leave a universe: what still waits in it, also of processes that were killed, ends within its loop."""
 
     async def end() -> None:
--- a/emberlatch/inventory/membership.py
+++ b/emberlatch/inventory/membership.py
@@ -75,7 +75,7 @@
 
     def assemble(self) -> Inventory:
         """The set that they make together; raises RefusedError."""
-        return assemble(packed.unpack() for packed in self._parsed.values())
+        return assemble((packed.unpack() for packed in self._parsed.values()), self._words)
 
 
 class InventoryMembership:
@@ -249,6 +249,9 @@
 def _known(inventory: Inventory, words: Vocabulary) -> bool:
     """Whether a kept set still fits the configuration."""
     return all(
-        e.wing in words.wings and e.kind in words.kinds and e.protocol in words.protocols
+        e.wing in words.wings
+        and e.kind in words.kinds
+        and e.protocol in words.protocols
+        and (e.protocol != "as2" or (e.partner in words.profiles and e.kind not in words.batched))
         for e in inventory.endpoints.values()
     )
--- a/emberlatch/inventory/model.py
+++ b/emberlatch/inventory/model.py
@@ -53,6 +53,8 @@
     wings: tuple[str, ...]
     kinds: tuple[str, ...]
     protocols: tuple[str, ...] = ("http",)
+    profiles: tuple[str, ...] = ()  # partners with an AS2 profile
+    batched: tuple[str, ...] = ()  # kinds that take several messages in a call
 
 
 @dataclass(frozen=True, slots=True)
--- a/emberlatch/inventory/reader.py
+++ b/emberlatch/inventory/reader.py
@@ -120,4 +120,4 @@
     unread += [Problem(Place(str(p), 1), "", "is not there") for p in paths if not p.exists()]
     if unread:
         raise RefusedError([*unread, *(problem for file in parsed for problem in file.problems)])
-    return assemble(parsed)
+    return assemble(parsed, words)
--- a/emberlatch/inventory/whole.py
+++ b/emberlatch/inventory/whole.py
@@ -17,6 +17,7 @@
     Place,
     Problem,
     RefusedError,
+    Vocabulary,
     destination_number,
 )
 from emberlatch.inventory.parsed import BAD, Defaults, Parsed, Row, Values
@@ -33,13 +34,14 @@
 }
 
 
-def assemble(files: Iterable[Parsed]) -> Inventory:
+def assemble(files: Iterable[Parsed], words: Vocabulary = Vocabulary((), ())) -> Inventory:  # noqa: B008
     """The set that the files make together, in whatever order they come; raises RefusedError."""
-    return _Assembly(list(files)).inventory()
+    return _Assembly(list(files), words).inventory()
 
 
 class _Assembly:
-    def __init__(self, files: list[Parsed]) -> None:
+    def __init__(self, files: list[Parsed], words: Vocabulary) -> None:
+        self._words = words
         self._problems = [problem for file in files for problem in file.problems]
         self._rows = sorted((row for file in files for row in file.rows), key=lambda r: (r.file, r.line))
         by_place: Callable[[Defaults], tuple[str, int]] = lambda d: (d.file, d.line)  # noqa: E731
@@ -57,6 +59,7 @@
         rows = [(row, self._resolved(row, listed)) for row in self._rows]
         self._spelt_alike(rows)
         self._numbered(rows)
+        self._speakable(rows)
         self._unlike(rows, "id", lambda values: values["id"])
         self._unlike(rows, "address", lambda values: values["address"])
         for name in listed.keys() - {values["partner"] for _, values in rows}:
@@ -158,6 +161,19 @@
                     self._problem(row.place("partner"), "partner", wrong, "a destination number of its own")
             values["destination"] = number
 
+    def _speakable(self, rows: list[tuple[Row, Values]]) -> None:
+        """An AS2 endpoint needs a profile of its partner, and takes one message at a time."""
+        for row, values in rows:
+            if values["protocol"] != "as2":
+                continue
+            partner, kind = values["partner"], values["kind"]
+            if partner is not BAD and partner not in self._words.profiles:
+                right = f"a table [as2.partners.{partner}] in the configuration"
+                self._problem(row.place("protocol"), "protocol", f"{partner!r} has no AS2 profile", right)
+            if kind in self._words.batched:
+                wrong = f"as2 for {kind!r}, which takes several messages in a call"
+                self._problem(row.place("protocol"), "protocol", wrong, "a kind with batch = 1")
+
     def _unlike(self, rows: list[tuple[Row, Values]], field: str, of: Callable[[Values], Any]) -> None:
         """No two endpoints share an id, or an address."""
         first: dict[Any, tuple[Row, Values]] = {}
--- a/emberlatch/net/api.py
+++ b/emberlatch/net/api.py
@@ -60,8 +60,8 @@
                 key=headers.get("idempotency-key", ""),
                 category=headers["x-priority-class"],
                 tenant=headers.get("x-tenant-id", ""),
-                destination=self._destination(headers["envelope"]),
-                remaining=_whole_number(headers["x-timeout-ms"]) / 1000,
+                destination=destination(headers["envelope"], self._named),
+                remaining=whole_number(headers["x-timeout-ms"]) / 1000,
                 body=bytes(request.body),
                 again=retried == "1",
                 orphan=retried == "again",
@@ -69,19 +69,20 @@
         except KeyError as error:
             raise BadMessageError(f"{error.args[0]} is missing") from error
 
-    def _destination(self, envelope: str) -> int:
-        """What stands behind `dest` in an envelope, every part of which must be readable."""
-        parts = [part.strip().partition("=") for part in envelope.split(";")]
-        fields = {name: value for name, _, value in parts}
-        if len(fields) < len(parts) or not all(name and value for name, _, value in parts):
-            raise BadMessageError(f"envelope cannot be read: {envelope[:40]!r}")
-        if "dest" not in fields:
-            raise BadMessageError("envelope names no dest")
-        known = self._named(fields["dest"])
-        return known if known is not None else _whole_number(fields["dest"])
 
+def destination(envelope: str, named: Named) -> int:
+    """The number of what stands behind `dest` in an envelope, every part of which must be readable."""
+    parts = [part.strip().partition("=") for part in envelope.split(";")]
+    fields = {name: value for name, _, value in parts}
+    if len(fields) < len(parts) or not all(name and value for name, _, value in parts):
+        raise BadMessageError(f"envelope cannot be read: {envelope[:40]!r}")
+    if "dest" not in fields:
+        raise BadMessageError("envelope names no dest")
+    known = named(fields["dest"])
+    return known if known is not None else whole_number(fields["dest"])
 
-def _whole_number(text: str) -> int:
+
+def whole_number(text: str) -> int:
     """Plain digits and nothing else: int() would also take signs, blanks, underscores and other scripts."""
     if not (text.isascii() and text.isdigit() and len(text) <= 9):
         raise BadMessageError(f"no whole number: {text[:20]!r}")
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping, Set
@@ -35,6 +36,7 @@
 }
 HEALTH = b"/healthz"
 MESSAGES = b"/messages/"  # and an id: how a message ended, where the installation keeps that
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 SINGLE = {
     "content-length",
     "envelope",
@@ -129,11 +131,15 @@
         path: bytes = b"/api",
         most_body: int = MAX_BODY,
         single: Set[str] = SINGLE,
+        folded: bool = False,
     ) -> None:
-        """Messages are posted to `path`, with so many bytes at most and `single` headers once."""
+        """Messages are posted to `path`, with so many bytes at most and `single` headers once.
+
+        `folded` lets a header go on in the next line (RFC 9112, 5.2), as some senders of long ones do still.
+        """
         self.submit, self.asked = submit, asked
         self.paths = {path: b"POST", HEALTH: b"GET"}
-        self.most_body, self.single = most_body, single
+        self.most_body, self.single, self.folded = most_body, single, folded
         self.stopping = self.draining = self.held = False
         self._address, self._most, self._tasks, self._machine = address, most_clients, tasks, machine
         self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
@@ -269,6 +275,8 @@
         self._head: bytes | None = b""  # what has come of a head that is not whole; None if that is not known
         self._whole = False  # a request became whole in the present piece of data
         self._parser = httptools.HttpRequestParser(self)
+        if server.folded:
+            self._parser.set_dangerous_leniencies(lenient_headers=True)
         self._request: Request | None = None
         self._replies: deque[Reply] = deque()
         self._since = 0.0  # when the present request, or the idle time, began
@@ -430,6 +438,8 @@
         key = name.decode("latin-1").lower()
         if key in self.server.single and key in self._request.headers:
             raise self._unreadable(400)
+        if self.server.folded and _CONTROL.search(value):  # what the parser would turn down by itself
+            raise self._unreadable(400)
         self._request.headers[key] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
--- a/emberlatch/standalone/gateway.py
+++ b/emberlatch/standalone/gateway.py
@@ -12,11 +12,11 @@
 import signal
 import sys
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import urlsplit
 
-from emberlatch.config import Gateway, settings
-from emberlatch.inventory import InventoryMembership, Vocabulary
+from emberlatch.config import Gateway, settings, words
+from emberlatch.inventory import InventoryMembership
 from emberlatch.net.limits import places
 from emberlatch.net.notices import Notices
 from emberlatch.node import Node
@@ -25,6 +25,11 @@
 from emberlatch.store import Folder
 from emberlatch.takeover import Lock
 
+if TYPE_CHECKING:  # what AS2 needs is an extra
+    from emberlatch.as2.side import As2Side
+    from emberlatch.config.as2 import As2
+    from emberlatch.core.interface import Settings
+
 log = logging.getLogger(__name__)
 
 
@@ -32,11 +37,6 @@
     """The gateway can't start; the text names the setting and the reason."""
 
 
-def vocabulary(config: Gateway) -> Vocabulary:
-    """The words that the inventory may use."""
-    return Vocabulary(tuple(config.wings), tuple(config.kinds))
-
-
 class Standalone:
     """One gateway. The state folder is its own: a second process on it does not start."""
 
@@ -54,14 +54,19 @@
     def _make(self, config: Gateway, state: Path) -> None:
         journal = state / "journal"
         journal.mkdir(exist_ok=True)
+        told, spare = settings(config), 0
+        if config.as2 is not None:
+            from emberlatch.as2.build import places as as2_places
+
+            spare = as2_places(config.as2).descriptors
         try:
             node = Node(
-                settings(config),
+                told,
                 secrets.randbits(64),
                 Folder(journal),
                 config.limits.journal,
                 config.listen_address,
-                places(_descriptors(config.limits.sockets)),
+                _places(config.limits.sockets, spare),
                 named=lambda partner: self.membership.named(partner),
                 asked=self._asked if config.reports is None else None,
             )
@@ -72,16 +77,43 @@
         self.membership = InventoryMembership(
             [config.path(path) for path in config.inventory.paths],
             state,
-            vocabulary(config),
+            words(config),
             config.inventory.poll,
             config.inventory.settle,
             self.engine.listed,
             self._tasks,
         )
         self.ends: Ends | Notices = self._make_ends(state)
-        node.join(self.membership, self.ends)
+        self.as2: As2Side | None = None
+        if config.as2 is None:
+            node.join(self.membership, self.ends)
+        else:
+            self.as2 = self._make_as2(config.as2, told, node, state)
+            node.join(self.membership, self.as2.end, [self.as2.front], self.as2.carrier)
         self._control = Control(state, {"status": self.status, "reload": self.reload})
 
+    def _make_as2(self, config: As2, told: Settings, node: Node, state: Path) -> As2Side:
+        from emberlatch.as2.build import ProfileError, parties
+        from emberlatch.as2.build import places as as2_places
+        from emberlatch.as2.side import As2Side
+
+        def files(name: str) -> Folder:
+            (state / name).mkdir(exist_ok=True)
+            return Folder(state / name)
+
+        try:
+            known, named = parties(config, self._config.path), self.membership.named
+            room = as2_places(config)
+            return As2Side(room, known, told, node, self._as2_partner, named, files, self.ends)
+        except ProfileError as error:
+            raise StartError(str(error)) from error
+        except (OSError, ValueError) as error:
+            raise StartError(f"state: {error}") from error
+
+    def _as2_partner(self, target: bytes) -> str | None:
+        endpoint = self.membership.inventory.endpoints.get(target)
+        return endpoint.partner if endpoint is not None and endpoint.protocol == "as2" else None
+
     def _make_ends(self, state: Path) -> Ends | Notices:
         config, confirmed = self._config, self.engine.confirmed
         if config.reports is None:
@@ -108,6 +140,8 @@
         """End what can end in time and leave the rest to the journal."""
         self._control.stop()
         await self.engine.stop()
+        if self.as2 is not None:
+            self.as2.close()
         self._lock.close()
 
     async def reload(self) -> dict[str, Any]:
@@ -127,7 +161,8 @@
         told = self.engine.status()
         for pool in told["pools"]:
             pool["partner"] = names.get(pool["destination"], "")
-        return {"inventory": self._inventory(), "ends_pending": self.ends.pending} | told
+        own = {"inventory": self._inventory(), "ends_pending": self.ends.pending}
+        return own | ({"as2": self.as2.status()} if self.as2 is not None else {}) | told
 
     def _inventory(self) -> dict[str, Any]:
         membership = self.membership
@@ -160,6 +195,13 @@
     return lock
 
 
+def _places(sockets: int, spare: int) -> tuple[int, int]:
+    try:
+        return places(_descriptors(sockets), spare)
+    except ValueError as error:
+        raise StartError(f"limits.sockets: {error}") from error
+
+
 def _descriptors(wanted: int) -> int:
     """Make sure that the process may open so many."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/emberlatch/store/book.py
+++ b/emberlatch/store/book.py
@@ -62,17 +62,18 @@
         if state is not None:
             self._remember(key, state, number, len(payload))
 
-    def put(self, key: str, state: dict[str, Any]) -> list[str]:
-        """Record the state of a key; the keys that had to go for it."""
+    def put(self, key: str, state: dict[str, Any]) -> dict[str, dict[str, Any]]:
+        """Record the state of a key; gives what had to go for it."""
         record = _record(key, state)
         self._append(record)
         self._forget(key)
         self._remember(key, state, self._current, len(record))
-        gone = []
+        gone: dict[str, dict[str, Any]] = {}
         # A third of the room for what is alive: else making room would mean writing the same again and again.
         while self._live > self._most // 3 and len(self.states) > 1:
-            gone.append(next(iter(self.states)))
-            self.drop(gone[-1])
+            oldest = next(iter(self.states))
+            gone[oldest] = self.states[oldest]
+            self.drop(oldest)
         return gone
 
     def drop(self, key: str) -> None:
--- /dev/null
+++ b/tests/as2/test_kills.py
@@ -0,0 +1,116 @@
+"""A kill at each system call round an order that comes in and round a receipt that does."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest.mock import patch
+
+import pytest
+
+from emberlatch.as2 import orders
+from emberlatch.faults.as2 import As2World, Told
+from emberlatch.faults.disk import Moment
+from emberlatch.faults.loop import VirtualLoop
+from emberlatch.faults.run import abandon
+from emberlatch.standins.as2_partner import Fate, Script
+from tests.as2.test_universes import owns
+
+
+class OneOrder(As2World):
+    """One order of `bank`, sent again long after it was delivered; a kill at one system call."""
+
+    def kill_at(self, disk: str, call: int, moment: Moment) -> OneOrder:
+        self.where = disk, call, moment
+        return self
+
+    async def run(self) -> None:
+        await self._partners()
+        self.start()
+        await self._up()
+        disk, call, moment = self.where
+        self.disks[disk].kill_at = self.disks[disk].calls + call, moment
+        with (
+            patch.object(self.random, "randint", lambda *_: 3),
+            patch.object(self.random, "uniform", lambda *_: 2.5),
+        ):
+            await self._order("bank", "one@bank")
+        await self._up()
+        await asyncio.sleep(15)
+        self._look()
+        if self.messages and not next(iter(self.messages.values())).accepted < 1e9:
+            self.breach("the order was never taken on")
+
+    async def _up(self) -> None:
+        while self.node is None:
+            await asyncio.sleep(0.05)
+
+    def _script(self) -> Script:
+        return Script(Fate.RECEIPT)
+
+
+class OneReceipt(OneOrder):
+    """One message to `fund`, whose receipt comes on a connection of its own, 4 s later."""
+
+    async def run(self) -> None:
+        await self._partners()
+        self.start()
+        await self._up()
+        from emberlatch.faults.as2 import CATEGORIES
+
+        self._submit("one", CATEGORIES[2], 2)
+        await asyncio.sleep(2.0)
+        disk, call, moment = self.where
+        self.disks[disk].kill_at = self.disks[disk].calls + call, moment
+        await asyncio.sleep(8.0)
+        self.disks[disk].kill_at = None
+        await self._up()
+        await asyncio.sleep(15)
+        self._look()
+        told: Told = self.messages["one"]
+        assert self.side is not None
+        disputed = {each["message"] for each in self.side.evidence.disputes()}
+        # It is unsafe: with its call lost in the kill it fails at once, and the receipt is argued about.
+        if [result for *_, result in told.ends] != ["delivered"] and "one" not in disputed:
+            self.breach(f"{told.ends} without a dispute")
+
+    def _script(self) -> Script:
+        return Script(Fate.LATE, late=4.0)
+
+
+def played(world: type[OneOrder], disk: str, call: int, moment: Moment) -> OneOrder:
+    loop = VirtualLoop()
+    universe = world(1, loop, owns()).kill_at(disk, call, moment)
+    try:
+        loop.run_until_complete(universe.run())
+    finally:
+        abandon(loop)
+    return universe
+
+
+CALLS = [
+    (disk, call, moment)
+    for disk, most in (("journal", 9), ("as2-orders", 3))
+    for call in range(1, most)
+    for moment in Moment
+]
+
+
+@pytest.mark.parametrize(("disk", "call", "moment"), CALLS)
+def test_an_order_is_taken_once_whenever_the_process_dies(disk: str, call: int, moment: Moment) -> None:
+    universe = played(OneOrder, disk, call, moment)
+    assert not universe.breaches
+
+
+def test_without_the_journals_word_an_order_would_be_taken_twice() -> None:
+    """The kill that the record of what is coming is for."""
+    with patch.object(orders, "resolved", lambda order, held: order if order.taken else None):
+        found = [played(OneOrder, *where).breaches for where in CALLS]
+    assert any("twice" in breach for breaches in found for breach in breaches)
+
+
+@pytest.mark.parametrize("moment", Moment)
+@pytest.mark.parametrize(
+    ("disk", "call"), [("as2-ledger", n) for n in range(1, 6)] + [("journal", 1), ("journal", 2)]
+)
+def test_a_receipt_is_heard_or_comes_again(disk: str, call: int, moment: Moment) -> None:
+    assert not played(OneReceipt, disk, call, moment).breaches
--- /dev/null
+++ b/tests/as2/test_universes.py
@@ -0,0 +1,127 @@
+"""A few of the seeded universes, and planted bugs that they catch."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager
+from typing import Any
+from unittest.mock import patch
+
+import pytest
+
+from emberlatch.as2 import carrier, judge, ledger
+from emberlatch.as2.evidence import Evidence
+from emberlatch.as2.front import As2Front
+from emberlatch.as2.judge import Said, Verdict
+from emberlatch.as2.profile import Own
+from emberlatch.faults.as2 import As2World, play_as2
+from tests.as2.parties import identity
+
+US = "http://127.0.0.1:4080/as2"
+Plant = Callable[[], AbstractContextManager[Any]]
+
+
+def owns() -> dict[str, Own]:
+    named = {name: Own(name, identity(name)) for name in ("bank", "fund", "stranger")}
+    return named | {"us": Own("National Office", identity("us"), US)}
+
+
+def played(first: int, count: int) -> Iterator[As2World]:
+    for seed in range(first, first + count):
+        yield play_as2(seed, owns())
+
+
+def test_no_rule_is_broken_whatever_becomes_of_receipts() -> None:
+    ends = {"delivered": 0, "dead": 0, "bounced": 0}
+    disputes = 0
+    for world in played(0, 24):
+        assert not world.breaches, (world.seed, world.breaches)
+        for told in world.messages.values():
+            for _, _, result in told.ends:
+                ends[result] += 1
+        assert world.side is not None
+        disputes += len(world.side.evidence.disputes())
+    assert ends["delivered"] > 200 and ends["dead"] > 10 and disputes > 20, (ends, disputes)
+
+
+def test_a_universe_is_the_same_each_time() -> None:
+    one, other = (play_as2(3, owns()) for _ in range(2))
+    assert one.loop.steps == other.loop.steps
+    assert {n: t.ends for n, t in one.messages.items()} == {n: t.ends for n, t in other.messages.items()}
+
+
+def any_status_refuses() -> AbstractContextManager[Any]:
+    """A 503 of a proxy is taken for the partner's word that nothing ran."""
+    return patch.object(judge, "of_status", lambda status: Said.REFUSED)
+
+
+def any_error_is_a_refusal() -> AbstractContextManager[Any]:
+    """An error in the midst of processing is taken for one ahead of it."""
+    return patch.object(judge, "_refuses", lambda told: told.modifier == "error")
+
+
+def no_receipt_is_no_run() -> AbstractContextManager[Any]:
+    """What is unknown counts as never run."""
+    results = carrier.RESULTS | {Said.UNKNOWN: carrier.RESULTS[Said.REFUSED]}
+    return patch.object(carrier, "RESULTS", results)
+
+
+def every_attempt_is_another_message() -> AbstractContextManager[Any]:
+    real = carrier.As2Carrier._prepare
+
+    async def prepare(self: Any, target: Any, call: Any) -> None:
+        own = self._parties.own
+        other = Own(f"{own.name}{call.items[0].attempt}", own.identity, own.receipts)
+        with patch.object(self._parties, "own", other):
+            await real(self, target, call)
+
+    return patch.object(carrier.As2Carrier, "_prepare", prepare)
+
+
+def duplicates_are_new() -> AbstractContextManager[Any]:
+    return patch.object(As2Front, "_known", lambda self, order: None)
+
+
+def late_proofs_are_dropped() -> AbstractContextManager[Any]:
+    real = Evidence.told
+
+    def told(self: Any, original: str, verdict: Verdict, at: float, receipt: bytes = b"") -> None:
+        record = self.find(original)
+        if record is None or not record.end:
+            real(self, original, verdict, at, receipt)
+
+    return patch.object(Evidence, "told", told)
+
+
+def contradictions_are_not_told() -> AbstractContextManager[Any]:
+    return patch.object(ledger, "_against_the_end", lambda record: None)
+
+
+def one_partner_may_take_all_leases() -> AbstractContextManager[Any]:
+    from emberlatch.core.rules import Forwarder
+
+    real = Forwarder.__init__
+
+    def init(self: Any, *told: Any, **more: Any) -> None:
+        real(self, *told, **more)
+        self.healthy_cap = self.sick_cap = self.settings.slots
+
+    return patch.object(Forwarder, "__init__", init)
+
+
+PLANTED: list[Plant] = [
+    any_status_refuses,
+    any_error_is_a_refusal,
+    no_receipt_is_no_run,
+    every_attempt_is_another_message,
+    duplicates_are_new,
+    late_proofs_are_dropped,
+    contradictions_are_not_told,
+    one_partner_may_take_all_leases,
+]
+
+
+@pytest.mark.parametrize("plant", PLANTED, ids=lambda plant: plant.__name__)
+def test_a_planted_bug_is_caught(plant: Plant) -> None:
+    with plant():
+        assert any(world.breaches for world in played(0, 60))
--- /dev/null
+++ b/tests/as2/world.py
@@ -0,0 +1,132 @@
+"""A standalone gateway with AS2 partners on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import ssl
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives import serialization
+
+from emberlatch.as2 import mdn, mime, names
+from emberlatch.as2.mdn import Mdn
+from emberlatch.as2.message import Format, Policy, seal, unseal
+from emberlatch.as2.profile import Own, Partner
+from emberlatch.config import load
+from emberlatch.standalone import Standalone
+from emberlatch.standins.as2_partner import As2Partner, Memory, Script, ask
+from tests.as2.parties import NOW, certificate, identity, key, trust
+from tests.peers import free_port
+
+US, BANK = "National Office", "RIVER BANK"
+PEM = serialization.Encoding.PEM
+
+
+def write(folder: Path, *names_: str) -> None:
+    """Certificates of parties, with their keys."""
+    for name in names_:
+        own = certificate(name).public_bytes(PEM)
+        secret = key(name).private_bytes(PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+        (folder / f"{name}.pem").write_bytes(own + secret)
+        (folder / f"{name}.crt").write_bytes(own)
+
+
+def configuration(folder: Path, listen: int, as2: int, endpoint: str, **more: str) -> Path:
+    """A gateway with the partner `river`; `more` goes into its profile, or with `as2_` into `[as2]`."""
+    write(folder, "us", "river", "stranger")
+    (folder / "inventory").mkdir(exist_ok=True)
+    rows = f"id,address,partner,kind,wing,protocol\nriver-1,{endpoint},river,rural-bank,east-wing,as2\n"
+    (folder / "inventory" / "a.csv").write_text(rows)
+    os.utime(folder / "inventory" / "a.csv", (1, 1))
+    profile = {"name": f'"{BANK}"', "certificates": '["river.crt"]'}
+    top = {"name": f'"{US}"', "certificates": '["us.pem"]', "listen": f'"127.0.0.1:{as2}"'}
+    for name, value in more.items():
+        (top if name.startswith("as2_") else profile)[name.removeprefix("as2_")] = value
+    lines = [
+        f'listen = "127.0.0.1:{listen}"',
+        "[inventory]",
+        'paths = ["inventory"]',
+        "[limits]",
+        "calls = 8",
+    ]
+    lines += ["[as2]", *(f"{k} = {v}" for k, v in top.items())]
+    lines += ["[as2.partners.river]", *(f"{k} = {v}" for k, v in profile.items())]
+    path = folder / "gateway.toml"
+    path.write_text("\n".join(lines) + "\n")
+    return path
+
+
+def partner(script: Callable[[], Script] = Script, memory: Memory | None = None) -> As2Partner:
+    """The stand-in `river`."""
+    us = Partner("us", US, trust("us"))
+    own = Own(BANK, identity("river"))
+    return As2Partner(own, us, memory or Memory(), script, identity("stranger"), time.time)
+
+
+@asynccontextmanager
+async def running(
+    folder: Path, script: Callable[[], Script] = Script, context: ssl.SSLContext | None = None, **more: str
+) -> AsyncIterator[tuple[Standalone, As2Partner, int, int]]:
+    """The gateway, its partner, and the ports of both of its fronts; `{as2}` stands for the second."""
+    bank = partner(script)
+    await bank.start(context)
+    listen, as2 = await free_port(), await free_port()
+    told = {name: value.replace("{as2}", str(as2)) for name, value in more.items()}
+    path = configuration(folder, listen, as2, bank.address, **told)
+    gateway = Standalone(load(path))
+    await gateway.start()
+    try:
+        yield gateway, bank, listen, as2
+    finally:
+        await gateway.stop()
+        await bank.stop()
+
+
+CONTENT = mime.compose((("Content-Type", "application/octet-stream"),), b"an order\r\n")
+
+
+def order(
+    original: str = "o-1@river",
+    content: bytes = CONTENT,
+    wanted: Format | None = None,
+    signer: str = "river",
+    **headers: str,
+) -> tuple[list[tuple[str, str]], bytes]:
+    """An order of the bank, as headers and a body."""
+    sealed = seal(content, wanted or Format(), identity(signer), trust("us"), NOW)
+    told = {
+        "AS2-Version": "1.2",
+        "AS2-From": names.quoted(BANK),
+        "AS2-To": names.quoted(US),
+        "Message-ID": f"<{original}>",
+        "Disposition-Notification-To": "river",
+        "Disposition-Notification-Options": mdn.ASKED.format("sha-256"),
+    }
+    told |= {name.replace("_", "-"): value for name, value in headers.items()}
+    return [*((k, v) for k, v in told.items() if v), *sealed.headers], sealed.body
+
+
+def receipt(headers: dict[str, str], body: bytes, signed: bool = True) -> Mdn:
+    """What a receipt of ours says."""
+    outer = mime.of(tuple(headers.items()), body)
+    opened = unseal(outer, identity("river"), trust("us"), Policy(signed=signed), time.time())
+    return mdn.parse(opened.content)
+
+
+async def post(port: int, told: tuple[list[tuple[str, str]], bytes]) -> tuple[int, dict[str, str], bytes]:
+    return await ask("127.0.0.1", port, *told)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for something that happens by itself."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def certificates(*names_: str) -> list[x509.Certificate]:
+    return [certificate(name) for name in names_]
