--- a/tests/as2/test_gateway.py
+++ b/tests/as2/test_gateway.py
@@ -7,6 +7,7 @@
 import gc
 import ipaddress
 import ssl
+import time
 from collections.abc import Iterator
 from dataclasses import replace
 from pathlib import Path
@@ -99,7 +100,10 @@
         async with running(tmp_path, lambda: next(fates), **told) as (gateway, bank, port, _):
             assert await hand_in(port, "m1", "river", X_Timeout_Ms="6000") == 202
             if fate is Fate.FOR_ANOTHER and late:
-                await until(lambda: bool(bank.told))  # it concerns no message here: nothing comes of it
+                await until(lambda: bool(bank.told))  # it concerns no message here, and is kept for a look
+                assert gateway.as2 is not None
+                (unknown,) = gateway.as2.evidence.disputes()
+                assert "receipt for a message that is not known" in unknown["disputes"][0]
                 return
             assert await end(port, "m1") == "delivered"
             assert len({seen.original for seen in bank.seen}) == 1 < len(bank.seen)
@@ -215,6 +219,41 @@
     run(test)
 
 
+def test_a_handshake_that_takes_its_time_is_waited_for_and_one_without_end_is_no_call(tmp_path: Path) -> None:
+    async def test() -> None:
+        context, pause = tls_context(tmp_path), [0.4]
+        async with running(tmp_path, context=context, tls='"tls.crt"') as (gateway, bank, port, _):
+            there = bank.address.split(":")
+
+            async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await asyncio.sleep(pause[0])
+                onward = await asyncio.open_connection(*there)
+
+                async def copy(one: asyncio.StreamReader, other: asyncio.StreamWriter) -> None:
+                    while data := await one.read(65536):
+                        other.write(data)
+                    other.close()
+
+                await asyncio.gather(copy(reader, onward[1]), copy(onward[0], writer), return_exceptions=True)
+
+            slow = await asyncio.start_server(relay, "127.0.0.1", 0)
+            address = f"127.0.0.1:{slow.sockets[0].getsockname()[1]}"
+            row = f"id,address,partner,kind,wing,protocol\nslow,{address},river,rural-bank,east-wing,as2\n"
+            (tmp_path / "inventory" / "a.csv").write_text(row)
+            await gateway.reload()
+            await until(lambda: any(b"slow" in target for target in gateway.membership.inventory.endpoints))
+            assert await hand_in(port, "m1", "river") == 202
+            assert await end(port, "m1") == "delivered"
+            pause[0] = 60.0
+            gateway.as2._as2.close_idle(next(iter(gateway.membership.inventory.endpoints)))  # type: ignore[union-attr]
+            assert await hand_in(port, "m2", "river", X_Timeout_Ms="1500") == 202
+            assert await end(port, "m2") == "refused"
+            assert len(bank.seen) == 1
+            slow.close()
+
+    run(test)
+
+
 # What comes in.
 
 
@@ -341,6 +380,18 @@
     run(test)
 
 
+def test_orders_are_forgotten_after_their_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with running(tmp_path, **ORDERS) as (gateway, bank, _, as2):
+            assert (await post(as2, order()))[0] == 200
+            await until(lambda: bool(bank.seen))
+            assert gateway.as2 is not None and gateway.as2._book.states
+            gateway.as2.front._wall = lambda: time.time() + 73 * 3600
+            await until(lambda: gateway.as2 is not None and not gateway.as2._book.states)
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     ("change", "said"),
     [
--- a/tests/as2/test_layers.py
+++ b/tests/as2/test_layers.py
@@ -8,7 +8,9 @@
 import pytest
 from asn1crypto import cms as asn1
 from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.ciphers import algorithms
+from cryptography.hazmat.primitives import padding as symmetric
+from cryptography.hazmat.primitives.asymmetric import padding, rsa
+from cryptography.hazmat.primitives.ciphers import Cipher, algorithms, modes
 from cryptography.hazmat.primitives.serialization import pkcs7
 
 from emberlatch.as2 import cms, mime
@@ -103,8 +105,6 @@
             assert attribute["values"].dump() == kinds[attribute["type"].native].dump()
     # Signed over the attributes as a sorted SET OF, by plain arithmetic.
     public = certificate("ours").public_key()
-    from cryptography.hazmat.primitives.asymmetric import padding, rsa
-
     assert isinstance(public, rsa.RSAPublicKey)
     over = b"\x31" + one["signed_attrs"].dump()[1:]
     public.verify(one["signature"].native, over, padding.PKCS1v15(), hashes.SHA256())
@@ -231,3 +231,75 @@
     large = mime.of((("Content-Type", "text/plain"),), bytes(MOST_CONTENT + 1))
     with pytest.raises(As2Error, match="over"):
         unseal(large, identity("theirs"), trust("ours"), ANY, NOW)
+
+
+def test_signatures_by_pss_are_verified() -> None:
+    builder = pkcs7.PKCS7SignatureBuilder().set_data(CONTENT)
+    builder = builder.add_signer(
+        certificate("ours"),
+        key("ours"),
+        hashes.SHA256(),
+        rsa_padding=padding.PSS(padding.MGF1(hashes.SHA256()), 32),
+    )
+    options = [pkcs7.PKCS7Options.Binary, pkcs7.PKCS7Options.DetachedSignature]
+    der = builder.sign(serialization.Encoding.DER, options)
+    assert cms.verify(der, CONTENT, trust("ours"), NOW).digest == "sha256"
+    with pytest.raises(As2Error):
+        cms.verify(der, CONTENT + b"x", trust("ours"), NOW)
+
+
+def enveloped(cipher: str, vector: bytes, hidden: bytes, transport: object, encrypted_key: bytes) -> bytes:
+    """Enveloped data by hand, of kinds that we do not write."""
+    info = asn1.KeyTransRecipientInfo(
+        {
+            "version": "v0",
+            "rid": asn1.RecipientIdentifier(
+                {"issuer_and_serial_number": cms._identifier(certificate("theirs"))}
+            ),
+            "key_encryption_algorithm": transport,
+            "encrypted_key": encrypted_key,
+        }
+    )
+    inner = {
+        "content_type": "data",
+        "content_encryption_algorithm": {"algorithm": cipher, "parameters": vector},
+        "encrypted_content": hidden,
+    }
+    data = asn1.EnvelopedData(
+        {
+            "version": "v0",
+            "recipient_infos": [asn1.RecipientInfo({"ktri": info})],
+            "encrypted_content_info": inner,
+        }
+    )
+    return bytes(asn1.ContentInfo({"content_type": "enveloped_data", "content": data}).dump())
+
+
+def hidden(algorithm: object, size: int, secret: bytes, vector: bytes) -> bytes:
+    padder = symmetric.PKCS7(size).padder()
+    encryptor = Cipher(algorithm(secret), modes.CBC(vector)).encryptor()  # type: ignore[operator]
+    return encryptor.update(padder.update(CONTENT) + padder.finalize()) + encryptor.finalize()
+
+
+def test_a_key_by_oaep_is_taken_in() -> None:
+    public, secret, vector = certificate("theirs").public_key(), bytes(range(16)), bytes(16)
+    assert isinstance(public, rsa.RSAPublicKey)
+    sealed = public.encrypt(secret, padding.OAEP(padding.MGF1(hashes.SHA256()), hashes.SHA256(), None))
+    sha = {"algorithm": "sha256"}
+    told = {"hash_algorithm": sha, "mask_gen_algorithm": {"algorithm": "mgf1", "parameters": sha}}
+    transport = {"algorithm": "rsaes_oaep", "parameters": told}
+    der = enveloped("aes128_cbc", vector, hidden(algorithms.AES, 128, secret, vector), transport, sealed)
+    assert cms.decrypt(der, identity("theirs")) == (CONTENT, "aes128_cbc")
+
+
+def test_triple_des_is_taken_in_only_where_it_is_allowed() -> None:
+    from cryptography.hazmat.decrepit.ciphers.algorithms import TripleDES
+
+    public, secret, vector = certificate("theirs").public_key(), bytes(range(24)), bytes(8)
+    assert isinstance(public, rsa.RSAPublicKey)
+    sealed = public.encrypt(secret, padding.PKCS1v15())
+    transport = {"algorithm": "rsaes_pkcs1v15"}
+    der = enveloped("tripledes_3key", vector, hidden(TripleDES, 64, secret, vector), transport, sealed)
+    assert cms.decrypt(der, identity("theirs"), triple_des=True)[0] == CONTENT
+    with pytest.raises(As2Error):
+        cms.decrypt(der, identity("theirs"))
