--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from emberlatch.admission import Door
 from emberlatch.engine import REAL, Address, Machine, Tasks
 from emberlatch.net.accept import Acceptor
 from emberlatch.net.http import MAX_HEAD, readable
@@ -57,7 +58,6 @@
 SWEEP = 0.25  # seconds between looks for connections that are over their time
 LINGER = 0.25  # seconds in which a client that is still sending can read why it was turned away
 PIPELINED = 8  # requests of one connection that wait for their answers
-STRANGERS = 0.25  # of all places, from which on silent ones are the first to go
 
 
 @dataclass(slots=True)
@@ -141,9 +141,8 @@
         self.paths = {path: b"POST", HEALTH: b"GET"}
         self.most_body, self.single, self.folded = most_body, single, folded
         self.stopping = self.draining = self.held = False
-        self._address, self._most, self._tasks, self._machine = address, most_clients, tasks, machine
-        self._strangers: dict[Client, None] = {}  # no sound request yet; the oldest first
-        self._proven: dict[Client, None] = {}  # the longest unused first
+        self._address, self._tasks, self._machine = address, tasks, machine
+        self.door: Door[Client] = Door(most_clients)
         self._acceptor: Acceptor | None = None
 
     def start(self) -> None:
@@ -220,46 +219,34 @@
         self._empty()
 
     def _all(self) -> list[Client]:
-        return [*self._strangers, *self._proven]
+        return [*self.door.strangers, *self.door.proven]
 
     @property
     def has_clients(self) -> bool:
         """Whether any connection is open."""
-        return bool(self._strangers or self._proven)
+        return bool(len(self.door))
 
     def joined(self, client: Client) -> None:
-        """Count a connection in; one too many costs the one that is missed least, or itself.
-
-        Strangers have a part of the places: with more they would drive out those that have proved
-        themselves, with none each would drive out the one that came just before it.
-        """
-        if len(self._strangers) + len(self._proven) >= self._most:
-            silent = next((other for other in self._strangers if other.idle), None)
-            unused = next((other for other in self._proven if other.idle), None)
-            many = len(self._strangers) >= self._most * STRANGERS
-            first, second = (silent, unused) if many else (unused, silent)
-            victim = first or second or next(iter(self._strangers), client)
-            self.left(victim)
+        """Count a connection in; one too many costs the one that is missed least, or itself."""
+        if (victim := self.door.joined(client)) is not None:
             victim.transport.abort()
-        if not client.transport.is_closing():
-            self._strangers[client] = None
 
     def left(self, client: Client) -> None:
         """Count a connection out."""
-        self._strangers.pop(client, None)
-        self._proven.pop(client, None)
+        self.door.left(client)
 
     def proved(self, client: Client) -> None:
-        """Put a connection last in the order in which those that have proved themselves are closed."""
-        self.left(client)
-        if not client.transport.is_closing():
-            self._proven[client] = None
+        """A sound request of a client is answered; one that is not expected back makes room for others."""
+        if client.transport.is_closing():
+            return self.door.left(client)
+        if (spare := self.door.answered(client, asyncio.get_running_loop().time())) is not None:
+            spare.transport.close()
 
     def _sweep(self) -> None:
         now = asyncio.get_running_loop().time()
-        for client in list(self._strangers):
+        for client in self.door.strangers:
             client.check_time(now, SLOW)
-        for client in list(self._proven):
+        for client in self.door.proven:
             client.check_time(now, ASKED if self.leaving else IDLE)
         asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
@@ -292,12 +279,17 @@
         """Whether it stands between requests."""
         return self._request is None and not self._replies
 
+    @property
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet."""
+        return readable(self.transport)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport, self._since = transport, asyncio.get_running_loop().time()
         self.server.joined(self)
         if self._proven:
-            self.server.proved(self)
+            self.server.door.adopted(self, self._since)
         if self._first:
             self.data_received(self._first)
         if self.server.held:
@@ -365,7 +357,7 @@
         own = transport.get_extra_info("socket")
         if data is None or own is None:
             return None
-        return Kept(own.fileno(), data, self in self.server._proven)
+        return Kept(own.fileno(), data, self.server.door.is_proven(self))
 
     def _rebuilt(self, request: Request) -> bytes | None:
         """The bytes of a request whose head is whole and whose body is not."""
@@ -388,7 +380,7 @@
 
     def close_if_idle(self) -> None:
         """A request that has come and is not read yet would be lost: it is answered first."""
-        if self.idle and not readable(self.transport):
+        if self.idle and not self.unread:
             self.transport.close()
 
     def check_time(self, now: float, idle: float) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -157,6 +157,31 @@
     run(test)
 
 
+def test_clients_that_ask_once_and_keep_their_connections_do_not_lock_themselves_out(tmp_path: Path) -> None:
+    """They open a third of the descriptors at most, fewer than there are places here (incident rf29a1f)."""
+
+    async def test() -> None:
+        async with node(tmp_path, accept, sockets=128) as (port, _, _, _):
+            kept: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+            for number in range(120):
+                while len(kept) >= 128 // 3:  # none can be opened until the forwarder closes one
+                    ended = [asyncio.ensure_future(reader.read()) for reader, _ in kept]
+                    done, rest = await asyncio.wait(ended, timeout=4, return_when=asyncio.FIRST_COMPLETED)
+                    assert done, f"locked out after {number}"
+                    for each in rest:
+                        each.cancel()
+                    await asyncio.gather(*rest, return_exceptions=True)
+                    kept = [pair for pair, each in zip(kept, ended, strict=True) if each not in done]
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+                assert (await read_message(reader))[0].split()[1] == "200"
+                kept.append((reader, writer))
+            for _, writer in kept:
+                writer.close()
+
+    run(test)
+
+
 def test_a_message_handed_in_twice_is_sent_once(tmp_path: Path) -> None:
     async def test() -> None:
         go = asyncio.Event()
