--- a/emberlatch/as2/carrier.py
+++ b/emberlatch/as2/carrier.py
@@ -131,7 +131,8 @@
             self._sealed.move_to_end(key)
             return known
         sealed = await self._crew.seal(content_of(item), partner.format, partner.partner, self._wall())
-        self._sealed[key] = sealed
+        if (other := self._sealed.setdefault(key, sealed)) is not sealed:
+            return other  # a second copy was quicker: both are to be the same
         self._kept += len(sealed.body)
         while self._kept > KEPT:
             self._kept -= len(self._sealed.popitem(last=False)[1].body)
@@ -158,14 +159,14 @@
         if not 200 <= response.status < 300:
             verdict = Verdict(judge.of_status(response.status))
             log.warning("%s answered %d to %s", call.target, response.status, exchange.record.original)
-            self._evidence.told(exchange.record.original, verdict, self._wall())
+            self._told(exchange.record, verdict)
         elif response.body.strip():
             verdict = await self._in_the_answer(exchange, response)
         elif exchange.partner.late_receipts:
             return await call.wait_for(exchange.receipt, lambda: True)  # which settles it, see `_conclude`
         else:
             verdict = Verdict(Said.UNKNOWN, "no receipt in the answer")
-            self._evidence.told(exchange.record.original, verdict, self._wall())
+            self._told(exchange.record, verdict)
         self._settle(call, verdict, hold)
 
     def _settle(self, call: Call, verdict: Verdict, hold: float = 0.0) -> None:
@@ -187,7 +188,7 @@
         opened = await self._crew.unseal(outer, partner.partner, ANY, self._wall())
         return mdn.parse(opened.content), bool(opened.signer)
 
-    def _told(self, record: Record, verdict: Verdict, raw: bytes) -> None:
+    def _told(self, record: Record, verdict: Verdict, raw: bytes = b"") -> None:
         if verdict.dispute:
             log.warning("dispute with %s over %s: %s", record.partner, record.original, verdict.dispute)
         try:
@@ -206,11 +207,7 @@
             problem = ""
         except As2Error as error:
             # Whose signature fails names its message all the same; it proves nothing, and is argued about.
-            told, signed, problem = (
-                _unverified(outer),
-                False,
-                _no_proof(error),
-            )
+            told, signed, problem = _unverified(outer), False, _no_proof(error)
         record, now = self._evidence.find(told.original), self._wall()
         if record is None or record.partner != partner.partner:
             log.warning("receipt of %s for %s, which is not known", partner.partner, told.original)
--- a/emberlatch/as2/front.py
+++ b/emberlatch/as2/front.py
@@ -135,10 +135,8 @@
     async def _serve(self, asked: Request, reply: Reply) -> None:
         try:
             headers = asked.headers
-            sender, own = (
-                names.unquoted(headers.get("as2-from", "")),
-                names.unquoted(headers.get("as2-to", "")),
-            )
+            sender = names.unquoted(headers.get("as2-from", ""))
+            own = names.unquoted(headers.get("as2-to", ""))
             partner = self._parties.named(sender)
             if partner is None or own != self._parties.own.name:
                 log.warning("message of %r to %r: no such partners", sender[:60], own[:60])
@@ -204,7 +202,7 @@
         message = self._submission(partner, order, content)
         order.owed = asked.elsewhere
         try:
-            self._book.put(_key(order), order.document())
+            self._put(_key(order), order)
         except OSError as error:
             log.error("orders cannot be recorded: %s", error)
             return reply.send(503, BUSY_AGAIN)
@@ -238,7 +236,7 @@
             return _Asked()
         signed, digest = mdn.wanted(outer.get("disposition-notification-options"))
         where = outer.get("receipt-delivery-option").strip()
-        if where and where != str(partner.receipts):
+        if where and (partner.receipts is None or where != str(partner.receipts)):
             raise As2Error(Modifier.UNEXPECTED, f"receipts to {where[:80]!r} are not agreed on")
         return _Asked(True, digest if signed else "", bool(where))
 
@@ -277,13 +275,21 @@
             if order is None:
                 self._book.drop(key)
             else:
-                self._book.put(key, order.document())
+                self._put(key, order)
         except OSError as error:
             # The journal has what is owed; after a restart it tells for what stands here as coming.
             log.error("orders cannot be recorded: %s", error)
             if order is not None:
                 self._book.states[key] = order.document()
 
+    def _put(self, key: str, order: Order) -> None:
+        """Raises OSError."""
+        for state in self._book.put(key, order.document()).values():
+            if not orders.over(orders.read(state), self._wall(), self._remember):
+                log.warning(
+                    "no room for orders: %s of %s is forgotten early", state["original"], state["partner"]
+                )
+
     async def _answer(self, order: Order, asked: _Asked, reply: Reply) -> None:
         if asked.elsewhere or not asked.wanted:
             return reply.send(200)
