--- a/tests/as2/test_mdn.py
+++ b/tests/as2/test_mdn.py
@@ -10,7 +10,7 @@
 from emberlatch.as2.errors import MimeError, Modifier
 from emberlatch.as2.mdn import Disposition, Mdn
 
-# Laid out as the example of RFC 4130, appendix A.2: folded fields, a MIC by `sha1`, prose of several lines.
+# Laid out after the example of RFC 4130, appendix A.2: folded fields, a MIC by `sha1`, several lines of prose.
 EXAMPLE = b"""Content-Type: multipart/report;\r
  report-type=disposition-notification;\r
  boundary="----=_Part_336_6069110.1034887086496"\r
@@ -39,7 +39,7 @@
 """
 
 
-def test_the_example_of_the_standard_is_read() -> None:
+def test_a_receipt_laid_out_as_the_standards_example_is_read() -> None:
     read = mdn.parse(mime.entity(EXAMPLE))
     assert read.original == '200207310834482A70BF63@\\"~~foo~~\\"'
     assert read.disposition == Disposition("processed")
