--- a/tests/as2/test_mdn.py
+++ b/tests/as2/test_mdn.py
@@ -10,7 +10,7 @@
 from emberlatch.as2.errors import MimeError, Modifier
 from emberlatch.as2.mdn import Disposition, Mdn
 
-# Laid out after the example of RFC 4130, appendix A.2: folded fields, a MIC by `sha1`, several lines of prose.
+# After the example of RFC 4130, appendix A.2: folded fields, a MIC by `sha1`, several lines of prose.
 EXAMPLE = b"""Content-Type: multipart/report;\r
  report-type=disposition-notification;\r
  boundary="----=_Part_336_6069110.1034887086496"\r
