A drain in one member's list is news for the whole fleet

Need: a partner's drain that one member's inventory tells was heard by that one alone until the files of the others changed too.

fleet/heard.py (pure) keeps the newest word on each endpoint, by age; of words that nobody can order the one that stops work holds; bounded. Another's word never lifts what a member's own list says. Who links up later hears all of it.

--- a/emberlatch/fleet/fleet.py
+++ b/emberlatch/fleet/fleet.py
@@ -12,7 +12,8 @@
 import structlog
 
 from emberlatch.engine import Address, Machine, Tasks
-from emberlatch.fleet.frames import AnyFrame, Frame, Hello, Table, Told, Wait
+from emberlatch.fleet.frames import AnyFrame, Frame, Hello, Listed, Table, Told, Wait
+from emberlatch.fleet.heard import Heard
 from emberlatch.fleet.link import Links
 from emberlatch.fleet.members import Fact, Halt, Members, Renew, Say
 from emberlatch.fleet.shares import Policy, Shares, Standing
@@ -48,6 +49,9 @@
     def told_to_wait(self, target: str, seconds: float) -> None:
         """An endpoint told another member to wait."""
 
+    def told_of(self, target: str, phase: int) -> None:
+        """Another member's list says that an endpoint drains (0), is ready (1) or gone (2)."""
+
     def halt(self, why: str) -> None:
         """The process must end."""
 
@@ -91,6 +95,7 @@
         self._standing: Standing | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._closed = False
+        self._heard = Heard()
         self._waits: dict[str, float] = {}  # told waits, ours and others', on our clock
 
     def start(self) -> None:
@@ -127,6 +132,17 @@
             for name in self._links.up:
                 self._links.say(name, told)
 
+    def listed(self, changes: Mapping[str, int]) -> None:
+        """Our list says something new of endpoints: the others are to know."""
+        now = self._clock()
+        news = [target for target, phase in changes.items() if self._heard.word(target, phase, now)]
+        self._pass_on(self._heard.of(now, news))
+
+    def _pass_on(self, listed: list[Listed], but: str = "") -> None:
+        for name in self._links.up if listed else ():
+            if name != but:
+                self._links.say(name, Told(listed=listed))
+
     def _binds(self, target: str, seconds: float) -> bool:
         """Whether that is longer than what is known."""
         now = self._clock()
@@ -140,10 +156,10 @@
 
     def linked(self, hello: Hello) -> None:
         self._turn(lambda now: self.members.linked(now, hello))
-        if self._waits:
-            now = self._clock()
-            left = [Wait(name, until - now) for name, until in self._waits.items() if until > now]
-            self._links.say(hello.name, Told(left))
+        now = self._clock()
+        left = [Wait(name, until - now) for name, until in self._waits.items() if until > now]
+        if left or self._heard.all(now):
+            self._links.say(hello.name, Told(left, self._heard.all(now)))
 
     def unlinked(self, name: str) -> None:
         self._turn(lambda now: self.members.unlinked(now, name))
@@ -154,6 +170,15 @@
             for wait in frame.waits:
                 if wait.left > LEAST_WAIT and self._binds(wait.target, wait.left):
                     self._follows.told_to_wait(wait.target, wait.left)
+            self._take_listed(name, frame.listed)
+
+    def _take_listed(self, name: str, listed: list[Listed]) -> None:
+        now = self._clock()
+        news = [item for item in listed if self._heard.word(item.target, item.phase, now - item.age)]
+        for item in news:
+            self._tell("told_of", target=item.target, phase=item.phase, by=name)
+            self._follows.told_of(item.target, item.phase)
+        self._pass_on(news, but=name)  # it may have come over a bridge
 
     def table(self) -> Table:
         return self.members.table()
--- a/emberlatch/fleet/frames.py
+++ b/emberlatch/fleet/frames.py
@@ -51,6 +51,14 @@
     left: float
 
 
+class Listed(msgspec.Struct, array_like=True, frozen=True):
+    """Somebody's list says so of an endpoint since `age` seconds: draining (0), ready (1) or gone (2)."""
+
+    target: str
+    phase: int
+    age: float
+
+
 class Frame(msgspec.Struct, array_like=True, frozen=True, tag=True):
     """The base of all that is said."""
 
@@ -116,9 +124,10 @@
 
 
 class Told(Frame, frozen=True, tag=9):
-    """Waits that partners told."""
+    """Waits that partners told, and endpoints that drain, are gone or are back."""
 
-    waits: list[Wait]
+    waits: list[Wait] = []
+    listed: list[Listed] = []
 
 
 AnyFrame = Hello | Ping | Ack | PingFor | Nack | Rumour | Digest | Table | Told
@@ -161,11 +170,20 @@
     for news in _news(frame):
         if not news.name or len(news.name) > MOST_NAME or not 0 <= news.incarnation < 1 << 62:
             raise FrameError("news of nobody")
-    if isinstance(frame, Told) and not all(0 <= wait.left < 1e6 for wait in frame.waits):
-        raise FrameError("a wait that is none")
+    if isinstance(frame, Told):
+        _check_told(frame)
     return frame
 
 
+def _check_told(told: Told) -> None:
+    if len(told.waits) > MOST_LIST or len(told.listed) > MOST_LIST:
+        raise FrameError("too much news")
+    if not all(0 <= wait.left < 1e6 for wait in told.waits):
+        raise FrameError("a wait that is none")
+    if not all(0 <= item.phase <= 2 and 0 <= item.age < 1e9 for item in told.listed):
+        raise FrameError("an endpoint that is none")
+
+
 def _news(frame: AnyFrame) -> list[News]:
     found: list[News] = []
     if isinstance(frame, Ping | Ack | PingFor | Rumour):
--- a/emberlatch/standalone/fleet.py
+++ b/emberlatch/standalone/fleet.py
@@ -11,7 +11,7 @@
 
 from emberlatch.config import ConfigProblems, Gateway, load
 from emberlatch.core import interface as api
-from emberlatch.engine import Machine
+from emberlatch.engine import Address, Addresses, Machine
 from emberlatch.fleet import Fleet, Policy, Settings, Standing
 from emberlatch.fleet.roster import wrong_with
 from emberlatch.node import Node
@@ -38,6 +38,7 @@
         self._config, self._settings, self._node, self._end = config, settings, node, end
         self._table = config.fleet
         self._told: api.Settings | None = None
+        self._own: dict[bytes, tuple[api.Entry, Address]] = {}  # as our own list has it
         policies = {name: Policy(item.cut_off) for name, item in config.classes.items()}
         others = {name: place for name, place in self._table.places.items() if name != self._table.me}
         told = Settings(self._table.name, self._table.me, self._table.listen_address, others, policies)
@@ -101,6 +102,33 @@
         self._node.targets.told_by(target.encode(), seconds)
         self._node.engine.told_to_wait(target.encode(), seconds)
 
+    def listed(self, update: api.DirectoryUpdate, addresses: Addresses) -> None:
+        """Our own list tells of endpoints: it is gone by, and what changed in it is news for the others."""
+        first = not self._own
+        if update.kind in (api.ListKind.CACHED, api.ListKind.FULL):
+            self._own.clear()
+        changes: dict[str, int] = {}
+        for entry in update.entries:
+            known = self._own.get(entry.target)
+            before = api.Phase.READY if known is None else known[0].phase
+            if entry.phase is not before or (first and entry.phase is not api.Phase.READY):
+                changes[entry.target.decode()] = int(entry.phase)
+            if entry.phase is api.Phase.GONE:
+                self._own.pop(entry.target, None)
+            else:
+                self._own[entry.target] = entry, addresses[entry.target]
+        self.fleet.listed(changes)
+
+    def told_of(self, target: str, phase: int) -> None:
+        """Another member's list says that an endpoint drains, is gone or is back: ours may not say so yet."""
+        entry, address = self._own.get(target.encode(), (None, None))
+        if entry is None or address is None or entry.phase is not api.Phase.READY:
+            return
+        if phase != int(api.Phase.READY):
+            entry = replace(entry, phase=api.Phase.DRAINING)
+        update = api.DirectoryUpdate(api.ListKind.DELTA, 0, (entry,))
+        self._node.engine.listed(update, {entry.target: address})
+
     def halt(self, why: str) -> None:
         """Another process has our name."""
         log.error("stopping: %s", why)
--- a/emberlatch/standalone/gateway.py
+++ b/emberlatch/standalone/gateway.py
@@ -18,7 +18,8 @@
 import structlog
 
 from emberlatch.config import Gateway, settings, words
-from emberlatch.engine import REAL, Machine
+from emberlatch.core.interface import DirectoryUpdate
+from emberlatch.engine import REAL, Addresses, Machine
 from emberlatch.inventory import InventoryMembership
 from emberlatch.net.limits import places
 from emberlatch.net.notices import Notices
@@ -93,7 +94,7 @@
             words(config),
             config.inventory.poll,
             config.inventory.settle,
-            self.engine.listed,
+            self._listed,
             self._tasks,
         )
         self.ends: Ends | Notices = self._make_ends(state)
@@ -189,6 +190,11 @@
         if self.fleet is not None:
             self.fleet.reload()
 
+    def _listed(self, update: DirectoryUpdate, addresses: Addresses) -> None:
+        self.engine.listed(update, addresses)
+        if self.fleet is not None:
+            self.fleet.listed(update, addresses)
+
     def _lost(self, error: OSError) -> None:
         """A sync failed: what is owed is on disk as far as it was synced, and nothing more can be
         promised."""
--- a/emberlatch/storm/virtual.py
+++ b/emberlatch/storm/virtual.py
@@ -164,6 +164,9 @@
     def told_to_wait(self, target: str, seconds: float) -> None:
         """There are no partners here."""
 
+    def told_of(self, target: str, phase: int) -> None:
+        """There are no lists here."""
+
     def halt(self, why: str) -> None:
         """It must end."""
         process = self.process
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         self.standings: list[Standing] = []
         self.waits: list[tuple[str, float]] = []
+        self.listed: list[tuple[str, int]] = []
         self.halted = ""
         self.facts: list[tuple[str, dict[str, Any]]] = []
         self.news = asyncio.Event()
@@ -41,6 +42,10 @@
         self.waits.append((target, seconds))
         self.news.set()
 
+    def told_of(self, target: str, phase: int) -> None:
+        self.listed.append((target, phase))
+        self.news.set()
+
     def halt(self, why: str) -> None:
         self.halted = why
         self.news.set()
@@ -148,6 +153,24 @@
     run(test)
 
 
+def test_a_drain_in_one_list_is_news_for_all_and_who_comes_later_hears_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with place(tmp_path, "a", "b", "c") as fleet:
+            (a, side), (b, other) = fleet.start("a"), fleet.start("b")
+            await side.until(lambda: met(side, "b"))
+            a.listed({"p-1": 0, "p-2": 2})
+            await other.until(lambda: len(other.listed) == 2)
+            a.listed({"p-1": 0})  # no news
+            b.listed({"p-1": 2})  # gone is more than draining
+            await side.until(lambda: bool(side.listed))
+            assert side.listed == [("p-1", 2)] and other.listed == [("p-1", 0), ("p-2", 2)]
+            _, c = fleet.start("c")
+            await c.until(lambda: len(c.listed) == 2)
+            assert sorted(c.listed) == [("p-1", 2), ("p-2", 2)]
+
+    run(test)
+
+
 def test_of_two_processes_with_one_name_the_later_stays(tmp_path: Path) -> None:
     async def test() -> None:
         async with place(tmp_path, "a", "b", "c") as fleet:
--- /dev/null
+++ b/tests/standalone/test_fleet.py
@@ -0,0 +1,71 @@
+"""What the gateway does by what its fleet tells: lists of others, waits of others, its part and closed
+classes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from emberlatch.config import load
+from emberlatch.core.interface import Phase
+from emberlatch.fleet import Standing
+from emberlatch.standalone import Standalone
+from tests.peers import free_port
+from tests.standalone.world import HEADER, hand_in, run
+
+
+async def alone(folder: Path, *rows: str) -> tuple[Standalone, int]:
+    """A gateway in a fleet of itself."""
+    (folder / "i.csv").write_text("\n".join([HEADER, *rows]) + "\n")
+    ports = [await free_port() for _ in range(2)]
+    lines = [f'listen = "127.0.0.1:{ports[0]}"', "[inventory]", 'paths = ["i.csv"]', "[fleet]", 'name = "f"']
+    lines += ['me = "a"', "[fleet.members]", f'a = "127.0.0.1:{ports[1]}"']
+    (folder / "g.toml").write_text("\n".join(lines))
+    gateway = Standalone(load(folder / "g.toml"))
+    await gateway.start()
+    return gateway, ports[0]
+
+
+def row(name: str, phase: str = "") -> str:
+    return f"{name},127.0.0.1:{name[1:]},{name}-bank,rural-bank,east-wing,{phase}"
+
+
+def test_another_member_s_list_drains_and_never_lifts_what_our_own_says(tmp_path: Path) -> None:
+    async def test() -> None:
+        gateway, _ = await alone(tmp_path, row("m1"), row("m2", "draining"))
+        assert gateway.fleet is not None
+
+        names = {target.decode().partition("@")[0]: target.decode() for target in gateway.fleet._own}
+        assert set(names) == {"m1", "m2"}
+
+        def phase(name: str) -> Phase:
+            entry = gateway.targets.entry(names[name].encode())
+            assert entry is not None
+            return entry.phase
+
+        for told, name, held in (
+            (Phase.DRAINING, "m1", Phase.DRAINING),
+            (Phase.READY, "m1", Phase.READY),
+            (Phase.GONE, "m1", Phase.DRAINING),
+            (Phase.READY, "m2", Phase.DRAINING),
+        ):
+            gateway.fleet.told_of(names[name], int(told))
+            assert phase(name) is held, (told, name)
+        gateway.fleet.told_of("nobody", 0)
+        gateway.fleet.told_to_wait(names["m1"], 5.0)
+        assert [name for name, _ in gateway.targets.waits()] == [names["m1"]]
+        await gateway.stop()
+
+    run(test)
+
+
+def test_a_closed_class_is_refused_with_when_to_come_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        gateway, port = await alone(tmp_path, row("m1"))
+        assert gateway.fleet is not None
+        gateway.fleet.stands(Standing(3, 1 / 12, frozenset({"payout"})))
+        assert await hand_in(port, "p1", "m1-bank") == 429
+        gateway.fleet.stands(Standing(3, 1 / 3, frozenset()))
+        assert await hand_in(port, "p2", "m1-bank") == 202
+        await gateway.stop()
+
+    run(test)
--- a/tests/storm/test_operators.py
+++ b/tests/storm/test_operators.py
@@ -36,6 +36,13 @@
             "whole": ("status", paths[0]),
         }.items():
             self.done[name] = await asyncio.to_thread(call, *arguments)
+        # One member's inventory drains an endpoint: the others hear of it.
+        inventory = members[0].folder / "inventory.csv"
+        head, *rows = inventory.read_text().splitlines()
+        drained = [f"{row},{'draining' if row.startswith('p1-east') else ''}" for row in rows]
+        inventory.write_text("\n".join([f"{head},phase", *drained]) + "\n")
+        members[0].signal(signal.SIGHUP)
+        await self._until("told_of", count=2, phase=0)
         # The list grows by one that is not there yet: the parts shrink.
         for member in members[:2]:
             member.config.write_text(member.config.read_text() + 'f9 = "127.0.0.1:1"\n')
