The file in which a folder counts its member's lives is bounded

Each start added a line, for ever. Over 4 KiB it begins anew with the present life; a kill between the two is as an empty folder, of which the others know better. Test with 1,000 lines.

--- a/emberlatch/fleet/fleet.py
+++ b/emberlatch/fleet/fleet.py
@@ -24,6 +24,7 @@
 log = structlog.stdlib.get_logger(__name__)
 
 LIVES = "lives"  # the file in which a folder counts the lives of its member
+MOST_LIVES = 4096  # bytes of that file
 GOODBYE = 0.1  # seconds that a farewell has to leave the process
 LEAST_PAUSE = 0.001  # seconds: a clock that is not the loop's never comes to a moment exactly
 LEAST_WAIT = 0.05  # seconds: a told wait that is nearly over is no news
@@ -158,8 +159,9 @@
         self._turn(lambda now: self.members.linked(now, hello))
         now = self._clock()
         left = [Wait(name, until - now) for name, until in self._waits.items() if until > now]
-        if left or self._heard.all(now):
-            self._links.say(hello.name, Told(left, self._heard.all(now)))
+        listed = self._heard.all(now)
+        if left or listed:
+            self._links.say(hello.name, Told(left, listed))
 
     def unlinked(self, name: str) -> None:
         self._turn(lambda now: self.members.unlinked(now, name))
@@ -277,6 +279,8 @@
 
 
 def _record(files: Files, life: int) -> None:
+    if LIVES in files.names() and len(files.read(LIVES)) > MOST_LIVES:
+        files.remove(LIVES)  # killed right here, the others tell the next process of its lives
     handle = files.append_to(LIVES)
     try:
         files.write(handle, memoryview(f"{life}\n".encode()))
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -263,3 +263,15 @@
             assert side.has("majority")  # of one
 
     run(test)
+
+
+def test_the_file_of_lives_is_bounded(tmp_path: Path) -> None:
+    async def test() -> None:
+        (tmp_path / "a").mkdir()
+        (tmp_path / "a" / "lives").write_bytes(b"".join(b"%d\n" % n for n in range(1000, 2000)))
+        async with place(tmp_path, "a") as fleet:
+            _, side = fleet.start("a")
+            assert side.has("life", life=2000, fresh=False)
+            assert (tmp_path / "a" / "lives").read_bytes() == b"2000\n"
+
+    run(test)
