--- a/emberlatch/storm/rig.py
+++ b/emberlatch/storm/rig.py
@@ -321,6 +321,9 @@
         """Wait until every message that was taken on has its end, or it is too late."""
         until = self._loop.time() + LAST
         while self._loop.time() < until:
+            for member in self.members.values():
+                if member.gone.is_set():  # it was on its way out when all was healed
+                    await self._revive(member)
             facts = self.history.facts
             taken = {f.told["id"] for f in facts if f.what == "heard" and f.told["status"] == 202}
             open_ones = taken - {f.told["id"] for f in facts if f.what == "end"}
