A link that was full tells all again once there is room

Seen on rereading: of frames that were dropped for want of room the newest of a kind was kept, but told waits and drains are increments, so a newer one took the place of another that was never told. Now the link, once it has room, is greeted as a new one: table, waits and lists with their present ages. Test with a full link; it fails without.

--- a/emberlatch/fleet/link.py
+++ b/emberlatch/fleet/link.py
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 from emberlatch.engine import Address, Machine, Tasks
-from emberlatch.fleet.frames import VERSION, AnyFrame, Frame, FrameError, Hello, Reader, Table, Told, encode
+from emberlatch.fleet.frames import VERSION, AnyFrame, Frame, FrameError, Hello, Reader, Table, encode
 from emberlatch.fleet.table import life_of
 from emberlatch.net.accept import Acceptor
 
@@ -25,8 +25,7 @@
     1.0,
 )  # seconds between tries: the first, the longest, each drawn from half to all of it
 MOST_STRANGERS = 32  # connections that have not said who they are
-FULL = 64 * 1024  # bytes not sent yet, over which a frame is dropped
-KEPT = (Table, Told)  # of which the newest is kept until there is room; all else is asked again anyway
+FULL = 64 * 1024  # bytes not sent yet, over which a frame is dropped; all is told again once there is room
 
 
 class Hears(Protocol):
@@ -55,7 +54,7 @@
         self.heard = asyncio.get_running_loop().time()
         self._reader = Reader()
         self._transport: asyncio.Transport
-        self._kept: dict[type, Frame] = {}
+        self._missed = False  # a frame was dropped, for too much waited to be sent
         self._patience: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -103,16 +102,15 @@
         if self._transport.is_closing():
             return False
         if self._transport.get_write_buffer_size() > FULL:
-            if isinstance(frame, KEPT):
-                self._kept[type(frame)] = frame
+            self._missed = True
             return False
         self._transport.write(encode(frame))
         return True
 
     def resume_writing(self) -> None:
-        kept, self._kept = self._kept, {}
-        for frame in kept.values():
-            self.say(frame)
+        if self._missed and self.hello is not None:
+            self._missed = False
+            self._links.greeted(self)  # all that is known goes out as on a new link
 
     @property
     def closing(self) -> bool:
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -12,7 +12,7 @@
 from emberlatch.engine import REAL, Tasks
 from emberlatch.fleet import Figures, Fleet, Policy, Settings, Standing
 from emberlatch.fleet.frames import Hello, Reader, Table, Told, Wait, encode
-from emberlatch.fleet.link import HELLO, MOST_STRANGERS
+from emberlatch.fleet.link import FULL, HELLO, MOST_STRANGERS
 from emberlatch.standins import reserve
 from emberlatch.store import Folder
 
@@ -275,3 +275,22 @@
             assert (tmp_path / "a" / "lives").read_bytes() == b"2000\n"
 
     run(test)
+
+
+def test_what_was_dropped_where_too_much_waited_is_told_again_once_there_is_room(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with place(tmp_path, "a", "b") as fleet:
+            (a, side), (_, b) = fleet.start("a"), fleet.start("b")
+            await side.until(lambda: met(side, "b"))
+            link = a._links._links["b"]
+            full = link._transport.get_write_buffer_size
+            link._transport.get_write_buffer_size = lambda: FULL + 1  # type: ignore[method-assign]
+            a.wait("p-1", 9.0)
+            a.listed({"p-2": 0})
+            assert a._links.dropped >= 2
+            link._transport.get_write_buffer_size = full  # type: ignore[method-assign]
+            link.resume_writing()
+            await b.until(lambda: bool(b.waits) and bool(b.listed))
+            assert b.waits[0][0] == "p-1" and b.listed == [("p-2", 0)]
+
+    run(test)
