The whole path, thin: links, leases, configuration, targets, records on two disks, delivery

Need: the users' list service and configuration tool end; emberlatch is to be the whole ingest and dispatch service. What it is: one program (huts) for all machines.

--- a/emberlatch/core/interface.py
+++ b/emberlatch/core/interface.py
@@ -219,6 +219,8 @@
     added_at: float = 0.0
     weight: float = 1.0
     cold: bool = False
+    most: float = math.inf
+    """Calls that it works on at once, where that is told."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/emberlatch/core/rules.py
+++ b/emberlatch/core/rules.py
@@ -594,7 +594,7 @@
         self.crowd += 0.05 * ((result is Result.FULL) - self.crowd)
         self.room = max(0.0, 1 - CROWDED * self.crowd)
         if result is Result.OK:
-            endpoint.last_ok, endpoint.most = now, endpoint.most + 0.1
+            endpoint.last_ok, endpoint.most = now, min(endpoint.entry.most, endpoint.most + 0.1)
             self._success(route, event.elapsed if self.stalled < now else route.recent)
             if pool.waiting and self.free > 0:
                 pool.grown = min(self.healthy_cap, pool.grown + 1)
@@ -740,7 +740,7 @@
         settings, kind, trusted = self.settings, entry.kind, TRUSTED[self.settings.weights]
         if trusted and entry.weight != endpoint.entry.weight:
             endpoint.route.limit, endpoint.route.pace = entry.weight * trusted, math.inf
-        endpoint.entry = entry
+        endpoint.entry, endpoint.most = entry, min(entry.most, endpoint.most)
         endpoint.per_call = max(settings.per_call[kind : kind + 1], default=1)
         separate = any(settings.separate_routes[kind : kind + 1])
         endpoint.fee = sum(settings.zone_fees[entry.zone : entry.zone + 1]) if separate else 0.0
--- /dev/null
+++ b/huts/guide/__init__.py
@@ -0,0 +1,5 @@
+"""The operator's command line."""
+
+from huts.guide.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/huts/guide/main.py
@@ -0,0 +1,6 @@
+"""Commands."""
+
+
+def main() -> None:
+    """Nothing yet."""
+    raise SystemExit("usage: EMBERLATCH_BOOT=FILE python -m huts")
--- /dev/null
+++ b/huts/hut.py
@@ -0,0 +1,377 @@
+"""One process of the system, whatever its role: links to the others, and the parts that its settings ask for.
+
+A process with a disk keeps the state and delivers; one that clients reach takes messages in; one with a
+control address takes calls, and passes on what it can't settle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from emberlatch.engine import Machine, Tasks
+from emberlatch.store import Offload
+from huts.cairn import Cairn, WordFiles
+from huts.descent import Descent
+from huts.events import Event, say
+from huts.lookout import Target, Targets
+from huts.refuge import Keeper, Ledger, Record, Shelf, State
+from huts.refuge.keeper import Phase
+from huts.register import Member, Roster
+from huts.retire import NoRetirement
+from huts.rope import Peer, PeerState, RopeServer, Strand
+from huts.trailhead import Desk, Front, Gate, Ready
+from huts.trailhead import desk as desks
+from huts.waymark import Boot, Configuration
+
+ROSTER = "stores"  # the name under which the stores are noted on disk
+TAKE_STILL = 2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
+LEASE = 6.0  # seconds for which a member counts after its last word
+
+
+class Hut:
+    """See the module. `failed` is told when the disk can be believed no more."""
+
+    def __init__(
+        self, boot: Boot, machine: Machine, offload: Offload, life: int, seed: int, failed: Callable[[OSError], None]
+    ) -> None:
+        self.boot, self.machine, self.tasks = boot, machine, Tasks()
+        self._offload, self._seed, self._failed = offload, seed, failed
+        control = boot.listen.get("control")
+        self.me = Member(
+            boot.node, boot.ip, boot.inner_port, boot.zone, boot.region, boot.stores, boot.counted,
+            f"{control[0]}:{control[1]}" if control else "", life,
+        )  # fmt: skip
+        self.roster = Roster(self.me)
+        self._peers: dict[tuple[str, int], Peer] = {}
+        self._phases: dict[str, str] = {}
+        self.stopping = False
+        files = WordFiles(boot.data_dir / "word") if boot.stores and boot.data_dir else None
+        self.cairn = Cairn(boot.node, files, offload, self.tasks, self.enough, self.other_stores)
+        self.cairn.in_force = self._in_force
+        self.keeper: Keeper | None = None
+        self.descent: Descent | None = None
+        self.targets: Targets | None = None
+        self.front: Gate | None = None
+        self.desk: Gate | None = None
+        self.ready: Gate | None = None
+
+    # The others.
+
+    def enough(self, nodes: Iterable[str]) -> bool:
+        """Whether what these machines' disks have bears the losses that the settings name."""
+        members = [m for n in set(nodes) if (m := self.roster.members.get(n)) is not None and m.store]
+        want = self.boot.resilience
+        return (
+            len(members) > want.machines
+            and len({m.zone for m in members}) > want.zones
+            and len({m.region for m in members}) > want.regions
+        )
+
+    def stores(self) -> dict[str, Peer]:
+        """The other stores, by node."""
+        found = {}
+        for member in self.roster.stores():
+            peer = self._peers.get((member.ip, member.port))
+            if member.node != self.boot.node and peer is not None:
+                found[member.node] = peer
+        return found
+
+    def other_stores(self) -> list[Peer]:
+        """Those of them that can be asked."""
+        return [peer for peer in self.stores().values() if peer.up]
+
+    def near_stores(self) -> list[Peer]:
+        """The stores that take messages, those of our zone first."""
+        able = [p for n, p in self.stores().items() if p.up and self.serving(n)]
+        members = self.roster.members
+        mine = (self.boot.zone, self.boot.region)
+        return sorted(able, key=lambda p: (members[p.name].zone != mine[0], members[p.name].region != mine[1]))
+
+    def serving(self, node: str) -> bool:
+        """Whether a store said that it takes messages and copies."""
+        return self._phases.get(node) == Phase.SERVING.value
+
+    def _dial(self) -> None:
+        """Keep a link to each store; to the seeds as long as none is known."""
+        wanted = {(m.ip, m.port): m.node for m in self.roster.stores() if m.node != self.boot.node}
+        if len(wanted) < 1 + (not self.boot.stores) or not any(p.up for p in self._peers.values()):
+            for host, _ in self.boot.seeds:
+                if host != self.boot.ip:
+                    wanted.setdefault((host, self.boot.inner_port), f"seed {host}")
+        for address, name in wanted.items():
+            peer = self._peers.get(address)
+            if peer is None:
+                self._peers[address] = Peer(name, address, self.serve, self.tasks, self)
+            elif not name.startswith("seed "):
+                peer.name = name
+        for address in [a for a in self._peers if a not in wanted]:
+            self._peers.pop(address).close()
+
+    def _members(self, told: Any, peer: Peer | Strand | None) -> None:
+        """What another process says of itself and of all that it knows."""
+        news = False
+        for item in told["roster"]:
+            member = Member.read(item)
+            if self.roster.add(member):
+                news = True
+                say(Event.MEMBER_NEW, member.node, member.ip, f"life={member.life}")
+        speaker = Member.read(told["me"])
+        news = self.roster.add(speaker) or news
+        self.roster.renew(speaker.node, asyncio.get_running_loop().time())
+        if peer is not None:
+            peer.name = speaker.node
+        if told.get("phase") is not None:
+            self._phases[speaker.node] = told["phase"]
+        if news:
+            self._dial()
+            if self.keeper is not None:
+                self.keeper.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
+                self.keeper.ledger.settle()
+            for other in self._peers.values():
+                other.tell("members", self.hello())
+
+    # What is said on links by itself.
+
+    def hello(self) -> dict[str, Any]:
+        return {"me": self.me.told(), "roster": [m.told() for m in self.roster.members.values()]} | self.beat()
+
+    def beat(self) -> dict[str, Any]:
+        phase = self.keeper.phase.value if self.keeper is not None else None
+        return {"phase": phase, "word": self.cairn.told(), "stands": self.cairn.revision}
+
+    def greeted(self, peer: Peer, told: Any) -> None:
+        self._members(told, peer)
+        if Member.read(told["me"]).store:
+            self.cairn.forget(peer.name)
+        self._beat_of(peer, told)
+
+    def beaten(self, peer: Peer, told: Any) -> None:
+        self.roster.renew(peer.name, asyncio.get_running_loop().time())
+        self._beat_of(peer, told)
+
+    def _beat_of(self, peer: Peer, told: Any) -> None:
+        if told["phase"] is not None:
+            self._phases[peer.name] = told["phase"]
+            self.cairn.meet(peer, told["word"], told["stands"])
+
+    def changed(self, peer: Peer) -> None:
+        if not peer.up:
+            self._phases.pop(peer.name, None)
+        if peer.up and self.targets is not None:
+            now = asyncio.get_running_loop().time()
+            for target in self.targets.known.values():
+                peer.tell("target", target.told(now))
+        self._dial()
+
+    def _tell_beat(self) -> None:
+        for peer in self.other_stores():
+            peer.tell("beat", self.beat())
+        for strand in list(self._rope.strands):
+            strand.tell("news", [self.boot.node, self.beat()])
+
+    # What others ask.
+
+    def serve(self, strand: Strand, method: str, payload: Any) -> Any:
+        """One question of another process."""
+        match method:
+            case "beat":
+                self.roster.renew(strand.name, asyncio.get_running_loop().time())
+                if payload and (peer := self.stores().get(strand.name)) is not None and peer.up:
+                    self._beat_of(peer, payload)
+                return self.beat()
+            case "hello":
+                self._members(payload, strand)
+                return self.hello()
+            case "members":
+                return self._members(payload, None)
+            case "news":
+                if (peer := self.stores().get(payload[0])) is not None and peer.up:
+                    self._beat_of(peer, payload[1])
+                return None
+            case "tell word":
+                return self.cairn.held.raw if self.cairn.held is not None else None
+        if self.keeper is None:
+            raise ValueError(f"{method}: not kept here")
+        return self._serve_store(strand, method, payload, self.keeper)
+
+    def _serve_store(self, strand: Strand, method: str, payload: Any, keeper: Keeper) -> Any:
+        match method:
+            case "take":
+                return keeper.take(payload)
+            case "keep":
+                return keeper.keep(payload)
+            case "ended":
+                return keeper.ended(payload)
+            case "state":
+                return keeper.state_of(payload)
+            case "body":
+                return keeper.body_of(payload)
+            case "own":
+                return keeper.own(payload)
+            case "ranges":
+                return keeper.ranges(strand.name, payload)
+            case "records":
+                return keeper.records(payload)
+            case "mend":
+                return keeper.mended(payload)
+            case "word":
+                return self.cairn.taken(payload)
+            case "version":
+                return self.cairn.told()
+            case "target":
+                assert self.targets is not None
+                self.targets.heard(payload, asyncio.get_running_loop().time())
+                return True
+            case "control":
+                return self._control(payload)
+        raise ValueError(f"no such question: {method}")
+
+    async def _control(self, payload: Any) -> list[Any]:
+        answer = await self._clerk.settle(payload[0], payload[1], payload[2])
+        return [answer.status, answer.body]
+
+    # Parts.
+
+    async def start(self) -> None:
+        """Begin; returns once all addresses listen."""
+        boot, loop = self.boot, asyncio.get_running_loop()
+        if boot.stores:
+            self._make_store()
+        self._rope = RopeServer(self.machine, (boot.ip, boot.inner_port), self.serve, self.tasks)
+        self._dial()
+        most = max(16, (boot.max_fds - 300) // 2)
+        if "front" in boot.listen:
+            handler = Front(
+                lambda: self.cairn.force, self.near_stores, self.other_stores, lambda: max(1, len(self.stores()))
+            )
+            self.front = Gate(boot.listen["front"], handler.handle, most, self.tasks, self.machine)
+            self.front.start()
+            self.ready = Gate(boot.listen["ready"], Ready(self.lacks).handle, 64, self.tasks, self.machine)
+            self.ready.start()
+        self._clerk: desks.Clerk = desks.Passer(self.near_stores)
+        if self.keeper is not None and self.targets is not None:
+            self._clerk = desks.Keeper(
+                self.cairn, self.targets, self.tasks, self.other_stores, self._needed, self._whole, NoRetirement()
+            )
+        if "control" in boot.listen:
+            self.desk = Gate(boot.listen["control"], Desk(self._clerk).handle, most, self.tasks, self.machine)
+            self.desk.most_body, self.desk.idle = 2 * 1024 * 1024, 30.0
+            self.desk.start()
+        self.cairn.load()
+        if self.keeper is not None:
+            self.tasks.spawn(self._store_life(self.keeper))
+        say(Event.STARTED, boot.node, boot.role, f"life={self.me.life}", f"loop={type(loop).__module__}")
+
+    def _make_store(self) -> None:
+        boot = self.boot
+        assert boot.data_dir is not None
+        shelf = Shelf(boot.node)
+        ledger = Ledger(boot.data_dir / "records.db", self._offload, self.machine.wall, self._failed)
+        limits = boot.memory_mb * 1e6, boot.disk_mb * 1e6
+        keeper = self.keeper = Keeper(
+            boot.node, shelf, ledger, self.tasks, self.enough, self.stores, self.serving, limits,
+            boot.bounds.status_keep_s,
+        )  # fmt: skip
+        keeper.phase_changed = lambda _: self._tell_beat()
+        for told in ledger.noted(ROSTER) or []:
+            self.roster.add(Member.read(told | {"life": 0}))
+        self.targets = Targets(boot.heartbeat_ms / 1000, self._target_changed)
+        self.descent = Descent(
+            boot.zone, self.tasks, self._seed, self._finished, self._wrong, keeper.in_touch, self._parts,
+            boot.bounds.origin_window_s, max(64, (boot.max_fds - 300) // 4),
+        )  # fmt: skip
+        keeper.deliverer = self.descent
+
+    async def _store_life(self, keeper: Keeper) -> None:
+        await keeper.start(self.boot.initial_start)
+        self.tasks.spawn(keeper.tend())
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.25)
+            assert self.targets is not None and self.descent is not None
+            self.targets.tick(loop.time())
+            self.descent.poke()
+
+    def _target_changed(self, target: Target) -> None:
+        assert self.descent is not None
+        self.descent.target(target)
+
+    def _finished(self, record: Record, state: State, seal: str) -> None:
+        assert self.keeper is not None
+        self.keeper.finish(record, state, seal)
+
+    def _wrong(self, id: str) -> None:
+        assert self.targets is not None
+        self.targets.wrong(id, asyncio.get_running_loop().time())
+
+    def _parts(self) -> int:
+        """By how many a limit is shared: all that deliver, alive or not, for the dead may have sent just now."""
+        return max(1, len(self.roster.stores()))
+
+    def _needed(self) -> int:
+        """Of how many others it has to be heard which configuration they have."""
+        return max(0, len(self.stores()) - self.boot.resilience.machines)
+
+    def _whole(self) -> bool:
+        assert self.keeper is not None
+        return self.keeper.phase is not Phase.STARTING
+
+    def _in_force(self, config: Configuration) -> None:
+        for gate in (self.front,):
+            if gate is not None:
+                gate.limit(config.limits)
+        if self.descent is not None:
+            self.descent.configure(config)
+        if self.keeper is not None and hasattr(self, "_rope"):
+            self._tell_beat()
+
+    def lacks(self) -> str:
+        """What a front lacks to take messages; empty if nothing."""
+        if self.stopping:
+            return "stopping"
+        if self.cairn.force is None:
+            return "a configuration"
+        able = [p.name for p in self.near_stores()]
+        return "" if self.enough(able) else "enough stores"
+
+    # The end.
+
+    async def stop(self) -> None:
+        """Leave in order: finish what is out, give the rest to others, well inside the grace."""
+        self.stopping = True
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.boot.bounds.grace_s
+        say(Event.STOPPING, self.boot.node)
+        if self.front is not None:
+            self.front.drain(True)
+            still = loop.time() + min(TAKE_STILL, self.boot.bounds.grace_s * 0.45)
+            while loop.time() < still:
+                await asyncio.sleep(0.05)
+            self.front.close_listener()
+            while (self.front.busy or self.front.has_clients) and loop.time() < until - 1.5:
+                await asyncio.sleep(0.05)
+        if self.keeper is not None and self.descent is not None:
+            self.keeper.become(Phase.CLOSING)
+            if self.desk is not None:
+                self.desk.close_listener()
+                self.desk.drain(True)
+            await self.descent.close(self.keeper.hand_over, until)
+            while loop.time() < until - 1.0 and (self.keeper.busy or (self.desk is not None and self.desk.busy)):
+                await asyncio.sleep(0.02)
+            for peer in self._peers.values():
+                peer.flush()
+            await asyncio.sleep(0.03)
+            await self.keeper.settled()
+        self._rope.close()
+        for peer in list(self._peers.values()):
+            peer.close()
+        await asyncio.sleep(0.02)
+        if self.keeper is not None:
+            self.keeper.ledger.close()
+        say(Event.STOPPED, self.boot.node)
+        self.tasks.cancel()
+
+
+__all__ = ["Hut", "PeerState"]
--- /dev/null
+++ b/huts/register/roster.py
@@ -0,0 +1,81 @@
+"""The members that this process has heard of. Pure: time comes in with each call.
+
+A member is known by its node. Its lease is renewed by each word that it says to us; a later life of it has a
+later number. What others say of a member brings it onto the list, and renews nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A process of the system, as it describes itself."""
+
+    node: str
+    ip: str
+    port: int  # for other processes
+    zone: str
+    region: str
+    store: bool  # it keeps messages and the operator's word
+    counted: bool
+    control: str = ""  # where it takes calls of targets and operators; empty: nowhere
+    life: int = 0  # grows with each start
+
+    def told(self) -> dict[str, Any]:
+        """As it is sent."""
+        return asdict(self)
+
+    @staticmethod
+    def read(told: Any) -> Member:
+        """From what was sent; TypeError or ValueError if it is none."""
+        member = Member(**told)
+        texts = (member.node, member.ip, member.zone, member.region, member.control)
+        if not all(isinstance(t, str) and len(t) <= 100 for t in texts) or not member.node:
+            raise ValueError("a member's texts")
+        if not (0 < member.port < 65536 and isinstance(member.life, int)):
+            raise ValueError("a member's numbers")
+        return member
+
+
+MOST = 4096  # members
+
+
+class Roster:
+    """See the module."""
+
+    def __init__(self, me: Member) -> None:
+        self.me = me
+        self.members: dict[str, Member] = {me.node: me}
+        self._heard: dict[str, float] = {}
+
+    def add(self, member: Member) -> bool:
+        """Take note of one; whether anything is new."""
+        known = self.members.get(member.node)
+        if member.node == self.me.node or (known is not None and known.life >= member.life):
+            return False
+        if known is None and len(self.members) >= MOST:
+            return False
+        self.members[member.node] = member
+        return True
+
+    def renew(self, node: str, now: float) -> None:
+        """It has spoken to us."""
+        if node in self.members:
+            self._heard[node] = now
+
+    def remove(self, node: str) -> None:
+        """It has left for good."""
+        if node != self.me.node:
+            self.members.pop(node, None)
+            self._heard.pop(node, None)
+
+    def leased(self, now: float, lease: float) -> list[Member]:
+        """Those whose lease is running, ourselves among them."""
+        return [m for n, m in self.members.items() if n == self.me.node or now - self._heard.get(n, -1e9) < lease]
+
+    def stores(self) -> list[Member]:
+        """All that keep state, by name."""
+        return sorted((m for m in self.members.values() if m.store), key=lambda m: m.node)
--- /dev/null
+++ b/huts/rope/peer.py
@@ -0,0 +1,168 @@
+"""A link that this process keeps to another one: dialled again whenever it breaks or falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import Any, Protocol
+
+from emberlatch.engine import Tasks
+from huts.events import Event, say
+from huts.rope.strand import Lost, Serve, Strand
+
+BEAT = 0.4  # seconds between two questions whether the other side is there
+SILENT = 1.3  # seconds without a word after which a link is given up
+CONNECT = 0.6  # seconds for a connection to come up
+PAUSES = (0.05, 0.1, 0.2, 0.3)  # seconds before the next dial, by how many failed in a row
+
+
+class PeerState(Enum):
+    """What is known of the other process."""
+
+    DIALLING = "dialling"  # nothing is known yet, or the link broke a moment ago
+    UP = "up"
+    REFUSED = "refused"  # its machine says that nothing listens there: that process is dead
+    SILENT = "silent"  # nothing comes back: dead, without power or cut off
+
+
+class Words(Protocol):
+    """What is said on a link by itself, and who hears what came of it."""
+
+    def hello(self) -> Any:
+        """The first word on a new connection."""
+
+    def greeted(self, peer: Peer, told: Any) -> None:
+        """The answer to it."""
+
+    def beat(self) -> Any:
+        """The question that keeps a link alive."""
+
+    def beaten(self, peer: Peer, told: Any) -> None:
+        """The answer to it."""
+
+    def changed(self, peer: Peer) -> None:
+        """A peer's state has changed."""
+
+
+class Peer:
+    """See the module."""
+
+    def __init__(
+        self,
+        name: str,
+        address: tuple[str, int],
+        serve: Serve,
+        tasks: Tasks,
+        words: Words,
+    ) -> None:
+        self.name, self.address = name, address
+        self._serve, self._tasks, self._words = serve, tasks, words
+        self.state = PeerState.DIALLING
+        self.since = asyncio.get_running_loop().time()  # of the present state
+        self.last_up = -1e9  # loop time at which it was last known to be there
+        self.strand: Strand | None = None
+        self._failed = 0
+        self._task = tasks.spawn(self._keep())
+
+    @property
+    def up(self) -> bool:
+        """Whether it can be asked now."""
+        return self.state is PeerState.UP
+
+    def _become(self, state: PeerState) -> None:
+        """The one place in which its state changes."""
+        now = asyncio.get_running_loop().time()
+        if state is PeerState.UP or self.state is PeerState.UP:
+            self.last_up = now if state is PeerState.UP or self.strand is None else self.strand.heard
+        if state is self.state:
+            return
+        was, self.state, self.since = self.state, state, now
+        if state is PeerState.UP:
+            say(Event.PEER_UP, self.name)
+        elif was is PeerState.UP:
+            say(Event.PEER_DOWN, self.name, state.value)
+        self._words.changed(self)
+
+    async def ask(self, method: str, payload: Any, timeout: float) -> Any:
+        """Ask; raises Lost with `sent` if there is no answer in time."""
+        if self.strand is None or not self.up:
+            raise Lost(method, self.name, "no link", False)
+        future = self.strand.ask(method, payload)
+        done, _ = await asyncio.wait({future}, timeout=timeout)
+        if not done:
+            future.cancel()
+            raise Lost(method, self.name, f"no answer in {timeout:.3f} s", True)
+        try:
+            return future.result()
+        except Lost as lost:
+            raise Lost(method, self.name, lost.text, lost.sent) from None
+
+    def tell(self, method: str, payload: Any) -> bool:
+        """Tell; false if there is no link."""
+        if self.strand is None or not self.up:
+            return False
+        self.strand.tell(method, payload)
+        return True
+
+    def flush(self) -> None:
+        """What was told leaves now."""
+        if self.strand is not None:
+            self.strand._flush()
+
+    def close(self) -> None:
+        """Keep it no longer."""
+        self._task.cancel()
+        if self.strand is not None:
+            self.strand.leave()
+
+    async def _keep(self) -> None:
+        while True:
+            await self._dial()
+            await asyncio.sleep(PAUSES[min(self._failed, len(PAUSES) - 1)])
+            self._failed += 1
+
+    async def _dial(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT):
+                _, strand = await loop.create_connection(
+                    lambda: Strand(self._serve, self._tasks, self.name), *self.address
+                )
+        except ConnectionRefusedError:
+            return self._become(PeerState.REFUSED)
+        except (OSError, TimeoutError):
+            return self._become(PeerState.SILENT)
+        lost = asyncio.Event()
+        strand.gone = lost.set
+        try:
+            async with asyncio.timeout(CONNECT):
+                told = await strand.ask("hello", self._words.hello())
+            self.strand = strand
+            self._words.greeted(self, told)
+            self._failed = 0
+            self._become(PeerState.UP)
+            await self._watch(strand, lost)
+        except (Lost, TimeoutError):
+            pass
+        finally:
+            self.strand = None
+            if not strand.closed:
+                strand.close()
+        silent = loop.time() - strand.heard > SILENT
+        self._become(PeerState.SILENT if silent else PeerState.DIALLING)
+
+    async def _watch(self, strand: Strand, lost: asyncio.Event) -> None:
+        loop = asyncio.get_running_loop()
+        while not strand.closed and loop.time() - strand.heard <= SILENT:
+            strand.ask("beat", self._words.beat()).add_done_callback(self._beaten)
+            self.last_up = strand.heard
+            try:
+                async with asyncio.timeout(BEAT):
+                    await lost.wait()
+            except TimeoutError:
+                continue
+
+
+    def _beaten(self, future: asyncio.Future[Any]) -> None:
+        if not future.cancelled() and future.exception() is None:
+            self._words.beaten(self, future.result())
--- /dev/null
+++ b/huts/trailhead/front.py
@@ -0,0 +1,129 @@
+"""Messages of clients: a route, two synced copies, 202; and what became of a message.
+
+429 and 503 are promises that it never ran and never will. Where a store may have it, the answer is 504.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import re
+from collections.abc import Callable
+from typing import Any
+
+from emberlatch.net.server import Reply, Request
+from huts.rope import Lost, Peer
+from huts.waymark import Configuration
+
+STORE = 0.22  # seconds for a store to say that a message stands, while another could be asked
+IN_ALL = 0.46  # seconds in which a client has its answer
+RETRY = 0.12  # seconds after which a client may come again
+ASKED = 0.7  # seconds for the stores to tell of a message
+ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+MOST_DELAY = 7 * 86400.0  # seconds
+
+
+class Front:
+    """`stores` gives the stores that take messages, the nearest first; `all_stores` all that can be asked."""
+
+    def __init__(
+        self,
+        config: Callable[[], Configuration | None],
+        stores: Callable[[], list[Peer]],
+        all_stores: Callable[[], list[Peer]],
+        known: Callable[[], int],
+    ) -> None:
+        self._config, self._stores, self._all, self._known = config, stores, all_stores, known
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        target = request.path.decode("latin-1")
+        path = target.partition("?")[0]
+        config = self._config()
+        if request.method == b"GET" and path.startswith("/api/message/"):
+            return await self._state(path[len("/api/message/") :], reply)
+        if request.method == b"GET" and path.startswith("/api/message-body/"):
+            return await self._body(path[len("/api/message-body/") :], reply)
+        if config is None:
+            return reply.send(503, RETRY)
+        host = request.headers.get("host", "")
+        route = config.route(host, path)
+        if route is None:
+            return reply.send(404)
+        headers = request.headers
+        id = headers.get("emberlatch-attempt-id", "")
+        delay = _seconds(headers.get("emberlatch-delay-ms", "0"))
+        if ID.fullmatch(id) is None or delay is None or not host or "\n" in target:
+            return reply.send(400, body=b'{"cause":"Emberlatch-Attempt-Id or Emberlatch-Delay-Ms"}')
+        told = {
+            "id": id, "host": host, "method": request.method.decode("latin-1"), "path": target,
+            "content": headers.get("content-type", ""), "body": bytes(request.body), "age": 0.0, "delay": delay,
+            "retention": float(route.retention_s), "version": config.revision, "tries": 0,
+        }  # fmt: skip
+        await self._take(told, reply)
+
+    async def _take(self, told: dict[str, Any], reply: Reply) -> None:
+        loop = asyncio.get_running_loop()
+        began, unclear = loop.time(), False
+        stores = self._stores()
+        for at, peer in enumerate(stores):
+            left = began + IN_ALL - loop.time()
+            if left <= 0.02:
+                break
+            last = at + 1 == len(stores)
+            told["tries"], told["age"] = at if unclear else 0, loop.time() - began
+            try:
+                answer = await peer.ask("take", told, left if last else min(left, STORE))
+            except Lost as lost:
+                unclear = unclear or lost.sent
+                continue
+            if answer["ok"]:
+                return reply.send(202)
+            unclear = unclear or not answer["clear"]
+        if unclear:
+            return reply.send(504)
+        reply.send(503, RETRY)
+
+    async def _ask(self, method: str, id: str) -> tuple[list[Any], bool]:
+        """What the stores that answer say, and whether all did."""
+        stores = self._all()
+        answers = await asyncio.gather(*(p.ask(method, id, ASKED) for p in stores), return_exceptions=True)
+        sound = [a for a in answers if not isinstance(a, BaseException)]
+        return [a for a in sound if a is not None], len(sound) >= self._known()
+
+    async def _state(self, id: str, reply: Reply) -> None:
+        if ID.fullmatch(id) is None:
+            return reply.send(400)
+        told, whole = await self._ask("state", id)
+        order = ("completed", "dead_letter", "queued")
+        best = min(told, key=lambda answer: order.index(answer[0]), default=None)
+        if best is None:
+            return reply.send(404 if whole else 503)
+        state = {"state": best[0]} | ({"seal": best[1]} if best[0] == "completed" else {})
+        reply.send(200, body=json.dumps(state, separators=(",", ":")).encode())
+
+    async def _body(self, id: str, reply: Reply) -> None:
+        if ID.fullmatch(id) is None:
+            return reply.send(400)
+        told, whole = await self._ask("state", id)
+        if any(state == "completed" for state, _ in told):
+            return reply.send(404)
+        for peer in self._all():
+            try:
+                body = await peer.ask("body", id, ASKED)
+            except Lost:
+                whole = False
+                continue
+            if body is not None:
+                return reply.send(200, body=body, headers={"Content-Type": "application/octet-stream"})
+        reply.send(404 if whole else 503)
+
+
+def _seconds(text: str) -> float | None:
+    """Told milliseconds as seconds; None if it is no time."""
+    try:
+        value = float(text) / 1000
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and 0 <= value <= MOST_DELAY else None
--- /dev/null
+++ b/huts/trailhead/ready.py
@@ -0,0 +1,26 @@
+"""Whether clients may be sent here, told to the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from emberlatch.net.server import Reply, Request
+from huts.events import Event, say
+
+
+class Ready:
+    """`lacks` names what this process lacks to take messages; empty if nothing."""
+
+    def __init__(self, lacks: Callable[[], str]) -> None:
+        self._lacks = lacks
+        self._last = "?"
+
+    async def handle(self, request: Request, reply: Reply) -> None:
+        """Answer one request."""
+        if request.path.partition(b"?")[0] != b"/api/readiness":
+            return reply.send(404)
+        lacks = self._lacks()
+        if lacks != self._last:
+            self._last = lacks
+            say(Event.NOT_READY, lacks) if lacks else say(Event.READY)
+        reply.send(503 if lacks else 200)
--- /dev/null
+++ b/huts/waymark/boot.py
@@ -0,0 +1,161 @@
+"""The settings file of a process: TOML, its fields named in the users' DEPLOY page; unknown ones are ignored."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+Address = tuple[str, int]
+
+
+class SettingsError(ValueError):
+    """The settings can't be used; the text is `file:line: reason`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures of the rules; seconds, but for those named otherwise."""
+
+    seed_lag_s: float = 3.0
+    quarantine_s: float = 2.0
+    contact_ms: float = 4000.0
+    ack_ms: float = 5000.0
+    sync_s: float = 4.5
+    drain_ms: float = 3000.0
+    grace_s: float = 6.0
+    apply_ms: float = 3000.0
+    status_keep_s: float = 120.0
+    early_ms: float = 100.0
+    origin_window_s: float = 5.0
+    origin_excess: float = 1.1
+
+
+@dataclass(frozen=True, slots=True)
+class Resilience:
+    """What may be lost at once while all rules hold."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Boot:
+    """What a process is told. Addresses are (host, port)."""
+
+    node: str
+    role: str
+    node_class: str
+    serves: tuple[str, ...]
+    ip: str
+    zone: str
+    region: str
+    inner_port: int
+    seeds: tuple[Address, ...]
+    initial_start: bool
+    counted: bool
+    data_dir: Path | None
+    listen: dict[str, Address]
+    memory_mb: float
+    max_fds: int
+    disk_mb: float
+    heartbeat_ms: float
+    bounds: Bounds = field(default_factory=Bounds)
+    resilience: Resilience = field(default_factory=Resilience)
+
+    @property
+    def stores(self) -> bool:
+        """Whether this process keeps the state."""
+        return "store" in self.serves and self.data_dir is not None
+
+
+def read_boot(path: Path) -> Boot:
+    """Read and check the file; SettingsError names the first fault with its line."""
+    try:
+        text = path.read_text()
+        raw = tomllib.loads(text)
+    except OSError as error:
+        raise SettingsError(f"{path}:0: can't be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        where = re.search(r"line (\d+)", str(error))
+        raise SettingsError(f"{path}:{where[1] if where else 0}: not TOML: {error}") from None
+    return _Reader(path, text, raw).boot()
+
+
+class _Reader:
+    """Takes fields out of a parsed file; a bad one is an error with its line."""
+
+    def __init__(self, path: Path, text: str, raw: dict[str, Any]) -> None:
+        self._path, self._lines, self._raw = path, text.splitlines(), raw
+
+    def _fail(self, name: str, reason: str) -> SettingsError:
+        key = re.compile(rf"\s*{re.escape(name.rpartition('.')[2])}\s*=")
+        line = next((n for n, text in enumerate(self._lines, 1) if key.match(text)), 0)
+        return SettingsError(f"{self._path}:{line}: {name}: {reason}")
+
+    def _get(self, name: str, kind: type | tuple[type, ...], default: Any = None) -> Any:
+        value: Any = self._raw
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, dict) else None
+        if value is None:
+            if default is None:
+                raise self._fail(name, "missing")
+            return default
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            raise self._fail(name, f"wrong type {type(value).__name__}")
+        return value
+
+    def _number(self, name: str, default: float | None = None, least: float = 0.0) -> float:
+        value = float(self._get(name, (int, float), default))
+        if not least <= value < 1e12:
+            raise self._fail(name, f"{value:g} is out of range, at least {least:g}")
+        return value
+
+    def _address(self, name: str, text: object) -> Address:
+        host, _, port = str(text).rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            raise self._fail(name, f"not an address: {text!r}")
+        return host, int(port)
+
+    def _bounds(self) -> Bounds:
+        names = Bounds.__dataclass_fields__
+        return Bounds(**{n: self._number(f"bounds.{n}", names[n].default) for n in names})
+
+    def boot(self) -> Boot:
+        """All of it."""
+        ports = self._get("port_range", list)
+        if len(ports) != 2 or not all(isinstance(p, int) and 0 < p < 65536 for p in ports):
+            raise self._fail("port_range", "two ports")
+        serves = tuple(map(str, self._get("serves", list)))
+        data = self._get("data_dir", str, "")
+        if "store" in serves and not data:
+            raise self._fail("data_dir", "missing where store is served")
+        listen = self._get("listen", dict, {})
+        for name in (*(s for s in serves if s != "store"), *(["ready"] if "front" in serves else [])):
+            if name not in listen:
+                raise self._fail(f"listen.{name}", "missing")
+        resilience = {n: int(self._number(f"resilience.{n}", 0)) for n in Resilience.__dataclass_fields__}
+        return Boot(
+            node=self._get("node", str),
+            role=self._get("role", str, "hut"),
+            node_class=self._get("node_class", str, ""),
+            serves=serves,
+            ip=self._get("ip", str),
+            zone=self._get("zone", str),
+            region=self._get("region", str, "-"),
+            inner_port=ports[0],
+            seeds=tuple(self._address("seeds", s) for s in self._get("seeds", list)),
+            initial_start=self._get("initial_start", bool, False),
+            counted=self._get("counted", bool, False),
+            data_dir=Path(data) if data else None,
+            listen={name: self._address(f"listen.{name}", at) for name, at in listen.items()},
+            memory_mb=self._number("limits.memory_mb", 300, 16),
+            max_fds=int(self._number("limits.max_fds", 1024, 64)),
+            disk_mb=self._number("limits.disk_mb", 0),
+            heartbeat_ms=self._number("heartbeat_ms", 1200, 1),
+            bounds=self._bounds(),
+            resilience=Resilience(**resilience),
+        )
--- /dev/null
+++ b/huts/waymark/configuration.py
@@ -0,0 +1,165 @@
+"""The operator's configuration: routes, services and limits, checked whole or refused."""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass, field, fields
+from functools import cached_property
+from typing import Any
+
+import dacite
+from expression import Error, Ok, Result
+
+MOST_BYTES = 1024 * 1024  # of one configuration
+DEFERRED = "deferred"
+_STRICT = dacite.Config(strict=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What went wrong, in which step, at which peer."""
+
+    step: str
+    peer: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.step} at {self.peer}: {self.text}"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Messages whose host is this one and whose path begins so go to a service. Times in milliseconds."""
+
+    name: str
+    host_name: str
+    path_prefix: str
+    service: str
+    guard_timer_ms: int | float
+    route_type: str = DEFERRED
+    nominal_ms: int | float = 100
+    priority: int = 0
+    max_attempts: int = 1
+    in_order: bool = False
+    retention_s: int | float = 90.0
+    notify_uri: bool = False
+    nominal_start_ms: int | float = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """What messages are delivered to."""
+
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 64
+    protocol: str = "h1"
+    tls: bool = False
+    rate_per_s: int | float = 0.0
+    self_dedup: bool = False
+    pull_mode: bool = False
+    fixed_endpoint: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a client may send; sizes in bytes, times in milliseconds."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timer_ms: int | float = 3000
+    idle_timer_ms: int | float = 15000
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the operator's word; `raw` is what was sent, byte by byte."""
+
+    revision: int
+    route_entries: list[Route]
+    services: list[Service]
+    limits: Limits = field(default_factory=Limits)
+    raw: bytes = b""
+
+    @cached_property
+    def by_host(self) -> dict[str, list[Route]]:
+        """Routes of a host, the longest prefix first."""
+        found: dict[str, list[Route]] = {}
+        for route in sorted(self.route_entries, key=lambda r: -len(r.path_prefix)):
+            found.setdefault(route.host_name.lower(), []).append(route)
+        return found
+
+    @cached_property
+    def by_service(self) -> dict[str, Service]:
+        """Services by their names."""
+        return {service.name: service for service in self.services}
+
+    def route(self, host: str, path: str) -> Route | None:
+        """The route of a request, by its host and the longest prefix of its path."""
+        own = host.rpartition(":")[0] if ":" in host else host
+        for route in self.by_host.get(own.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def read_configuration(raw: bytes) -> Result[Configuration, str]:
+    """Read one whole; the error says what is wrong with it."""
+    if len(raw) > MOST_BYTES:
+        return Error(f"over {MOST_BYTES} bytes")
+    try:
+        told = json.loads(raw)
+        if not isinstance(told, dict):
+            return Error("not an object")
+        for name in ("route_entries", "services"):
+            if not isinstance(told.get(name), list):
+                return Error(f"{name}: not a list")
+        known = {f.name for f in fields(Configuration)} - {"raw"}
+        config = dacite.from_dict(Configuration, {k: v for k, v in told.items() if k in known}, _STRICT)
+    except (dacite.DaciteError, ValueError, TypeError, AttributeError, RecursionError) as error:
+        return Error(str(error)[:200] or type(error).__name__)
+    reason = _fault(config)
+    if reason:
+        return Error(reason)
+    object.__setattr__(config, "raw", raw)
+    return Ok(config)
+
+
+def _positive(value: Any) -> bool:
+    return not isinstance(value, bool) and math.isfinite(value) and value > 0
+
+
+def _fault(config: Configuration) -> str:
+    """The first thing that makes it invalid; empty if nothing does."""
+    if isinstance(config.revision, bool) or not 0 <= config.revision < 1 << 63:
+        return "revision: not a version"
+    names = {service.name for service in config.services}
+    if len(names) < len(config.services):
+        return "services: a name twice"
+    places: set[tuple[str, str]] = set()
+    for route in config.route_entries:
+        place = route.host_name.lower(), route.path_prefix
+        if route.service not in names:
+            return f"route {route.name}: unknown service {route.service}"
+        if place in places:
+            return f"route {route.name}: host and prefix are another's"
+        if not _positive(route.guard_timer_ms):
+            return f"route {route.name}: guard_timer_ms {route.guard_timer_ms}"
+        if not (_positive(route.nominal_ms) and _positive(route.nominal_start_ms)):
+            return f"route {route.name}: nominal times must be over 0"
+        if not (_positive(route.retention_s) and route.max_attempts >= 1):
+            return f"route {route.name}: retention_s and max_attempts must be over 0"
+        if not route.path_prefix.startswith("/"):
+            return f"route {route.name}: path_prefix {route.path_prefix!r}"
+        places.add(place)
+    for service in config.services:
+        if not 0 <= service.rate_per_s < math.inf or service.max_connections < 1:
+            return f"service {service.name}: rate_per_s or max_connections"
+        if service.fixed_endpoint is not None:
+            host, _, port = service.fixed_endpoint.rpartition(":")
+            if not host or not port.isdigit() or not 0 < int(port) < 65536:
+                return f"service {service.name}: fixed_endpoint {service.fixed_endpoint!r}"
+    limits = config.limits
+    sizes = (limits.max_header_bytes, limits.max_body_bytes, limits.header_timer_ms, limits.idle_timer_ms)
+    return "" if all(map(_positive, sizes)) else "limits: all must be over 0"
