--- a/huts/refuge/record.py
+++ b/huts/refuge/record.py
@@ -76,7 +76,8 @@
             "content": self.content, "body": body, "state": int(self.state), "seal": self.seal,
             "holder": self.holder, "epoch": self.epoch, "keepers": list(self.keepers),
             "attempts": self.attempts, "version": self.version, "sent": self.sent - now,
-            "due": self.due - now, "end": self.end - now, "ended": self.ended - now,
+            "due": self.due - now, "end": self.end - now,
+            "ended": self.ended - now if self.ended else None,
         }  # fmt: skip
 
     @staticmethod
@@ -90,5 +91,6 @@
         record.keepers = tuple(map(str, told["keepers"]))
         record.attempts, record.version = int(told["attempts"]), int(told["version"])
         record.sent, record.due = now + told["sent"], now + told["due"]
-        record.end, record.ended = now + told["end"], now + told["ended"]
+        record.end = now + told["end"]
+        record.ended = 0.0 if told["ended"] is None else now + told["ended"]
         return record
