A start compares with the others by itself, so that a store that comes back serves again

Cause: comparing was begun only once the store served, and it served only once it had compared. Every restart of a store left one less until none took messages.

--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -106,6 +106,7 @@
         self.ledger.note("life", 1)
         began = loop.time()
         while not first and not self._known(loop.time() - began, lost):
+            self._mend_due(loop.time())
             await asyncio.sleep(0.02)
         self.become(Phase.SERVING)
 
@@ -458,6 +459,13 @@
         if count:
             say(Event.TAKEN_OVER, f"of={','.join(sorted(dead))} messages={count}")
 
+    def _mend_due(self, now: float) -> None:
+        """Compare with those that came up since the last time, and with all now and then."""
+        for name, peer in self._stores().items():
+            last = self._mended.get(name, -1e9)
+            if peer.up and name not in self._mending and (now - last > EVERY or last < peer.since):
+                self._tasks.spawn(self.mend(peer))
+
     async def tend(self) -> None:
         """What has to be done now and then."""
         loop = asyncio.get_running_loop()
@@ -466,10 +474,7 @@
             await asyncio.sleep(0.1)
             now = loop.time()
             self.take_over()
-            for name, peer in self._stores().items():
-                since = now - self._mended.get(name, -1e9)
-                if peer.up and (since > EVERY or self._mended.get(name, -1e9) < peer.since):
-                    self._tasks.spawn(self.mend(peer))
+            self._mend_due(now)
             if now - swept > 1.0:
                 swept = now
                 await self._sweep(now)
