--- a/huts/refuge/ledger.py
+++ b/huts/refuge/ledger.py
@@ -129,6 +129,10 @@
         await self._offload(read)
         return found[0]
 
+    def abandon(self) -> None:
+        """Its process is dead: nothing more is written."""
+        self._db.close()
+
     def close(self) -> None:
         """Write what is left, and close."""
         self._commit(self._writes)
