--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -112,7 +112,8 @@
         # With no room above zero, pause and resume tell when bytes wait in user space. Under TLS they tell it
         # of that layer alone, which would pause at none: `written` then comes early, so that a call that
         # broke off may be taken for one that ran, never the other way round.
-        self._transport.set_write_buffer_limits(high=0 if transport.get_extra_info("sslcontext") is None else 1)
+        plain = transport.get_extra_info("sslcontext") is None
+        self._transport.set_write_buffer_limits(high=0 if plain else 1)
 
     def pause_writing(self) -> None:
         self.written = False
--- a/emberlatch/net/server.py
+++ b/emberlatch/net/server.py
@@ -290,6 +290,7 @@
         self._replies: deque[Reply] = deque()
         self._since = 0.0  # when the present request, or the idle time, began
         self._head_size = 0  # bytes of the present request's head, while it is not whole
+        self._told_size = 0  # bytes of its headers so far
         self._status = 400  # what a request that can't be read is answered
         self._ended = False  # the client has sent its last byte
         self._answered = False  # it has had an answer
@@ -439,7 +440,7 @@
     def on_message_begin(self) -> None:
         if len(self._replies) >= PIPELINED:
             raise self._unreadable(429)
-        self._request, self._head_size = Request(), 0
+        self._request, self._head_size, self._told_size = Request(), 0, 0
         if self._answered:  # the first request has to be whole soon after the connection came up
             self._since = asyncio.get_running_loop().time()
 
@@ -449,6 +450,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._request is not None
+        self._told_size += len(name) + len(value) + 4
+        if self._told_size > self.server.most_head:  # also of a head that came in one piece
+            raise self._unreadable(431)
         key = name.decode("latin-1").lower()
         if key in self.server.single and key in self._request.headers:
             raise self._unreadable(400)
--- a/huts/__main__.py
+++ b/huts/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m huts`: a process of the system where EMBERLATCH_BOOT names its settings, else the command line."""
+"""`python -m huts`: a process of the system if EMBERLATCH_BOOT names its settings, else commands."""
 
 import os
 import sys
--- a/huts/cairn/cairn.py
+++ b/huts/cairn/cairn.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -106,7 +107,7 @@
         return list(self._have.get(self._me, (-1, "")))
 
     async def keep(self, raw: bytes) -> Result[Configuration, str]:
-        """Check a version, and put it on our disk if it is newer; the one now held, or what is wrong with it."""
+        """Check a version, and put it on our disk if it is newer; it, or what is wrong with it."""
         read = read_configuration(raw)
         match read:
             case Result(tag="ok", ok=config):
@@ -151,10 +152,8 @@
         held = self.held
         if held is None or self._have.get(peer.name, (-1, ""))[0] >= held.revision:
             return
-        try:
+        with contextlib.suppress(Lost):  # it is told again when the link is up
             self.heard(peer.name, await peer.ask("word", held.raw, SPREAD))
-        except Lost:
-            pass  # it is told again when the link is up
 
     async def taken(self, raw: bytes) -> list[Any]:
         """Another process sends a version; which one is on our disk now."""
--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -134,8 +134,8 @@
             api.Category("none", api.Effect.SAFE, 1.0, 2.0),
         )
         return api.Settings(
-            categories=categories, slots=SLOTS, open_cap=1_000_000, max_attempts=1_000_000, separate_routes=(True,),
-            zone_fees=(0.0,), connect_timeout=0.5, connection_idle=6.0, 
+            categories=categories, slots=SLOTS, open_cap=1_000_000, max_attempts=1_000_000,
+            separate_routes=(True,), zone_fees=(0.0,), connect_timeout=0.5, connection_idle=6.0,
             retry_after=True, max_retry_after=2.0,
         )  # fmt: skip
 
@@ -429,7 +429,7 @@
         if load is None:
             return
         verdict, load.verdict = load.verdict, None
-        now, record, route = self._loop.time(), load.record, load.route
+        record, route = load.record, load.route
         assert route is not None
         if verdict is Verdict.ELSEWHERE:
             self._wrong(outcome.target.decode())
--- a/huts/events.py
+++ b/huts/events.py
@@ -1,4 +1,4 @@
-"""What the system's processes log: numbered events. docs/system/events.md is the catalogue, made from here."""
+"""What the system's processes log: numbered events; the catalogue in docs/system is made from here."""
 
 from __future__ import annotations
 
@@ -48,37 +48,81 @@
 
 TEXTS: dict[Event, tuple[int, str, str]] = {
     Event.STARTED: (logging.INFO, "started", "The process runs; its role and node are told."),
-    Event.STOPPING: (logging.INFO, "stopping", "SIGTERM: calls that are out are finished, what waits goes to others."),
+    Event.STOPPING: (
+        logging.INFO,
+        "stopping",
+        "SIGTERM: calls that are out are finished, what waits goes to others.",
+    ),
     Event.STOPPED: (logging.INFO, "stopped", "Nothing is out any more; the process ends."),
     Event.SETTINGS_AGAIN: (logging.INFO, "settings read again", "SIGHUP, or the file changed."),
-    Event.SETTINGS_BAD: (logging.ERROR, "settings not taken", "The file on disk is not sound; the old ones hold."),
+    Event.SETTINGS_BAD: (
+        logging.ERROR,
+        "settings not taken",
+        "The file on disk is not sound; the old ones hold.",
+    ),
     Event.TASK_DIED: (logging.ERROR, "task died", "A fault of the program; report it with the lines around."),
     Event.READY: (logging.INFO, "ready", "It has a configuration and reaches enough stores."),
     Event.NOT_READY: (logging.WARNING, "not ready", "It lacks what is named; clients are sent elsewhere."),
     Event.PEER_UP: (logging.INFO, "peer up", "A link to another process came up."),
     Event.PEER_DOWN: (logging.WARNING, "peer down", "A link broke or fell silent; it is dialled again."),
     Event.PEER_DEAD: (logging.WARNING, "peer taken for dead", "Its port refuses, or its lease is over."),
-    Event.PEER_RUBBISH: (logging.WARNING, "rubbish on a link", "What came was no frame; that connection ended."),
+    Event.PEER_RUBBISH: (
+        logging.WARNING,
+        "rubbish on a link",
+        "What came was no frame; that connection ended.",
+    ),
     Event.MEMBER_NEW: (logging.INFO, "new member", "A process was heard of for the first time."),
     Event.CONFIG_TAKEN: (logging.INFO, "configuration taken", "A version is in force in this process."),
-    Event.CONFIG_REFUSED: (logging.WARNING, "configuration refused", "What an operator sent is invalid; the reason is told."),
-    Event.CONFIG_STANDS: (logging.INFO, "configuration stands", "Enough disks have it; the operator was told 200."),
-    Event.CONFIG_UNREADABLE: (logging.ERROR, "configuration file unreadable", "A file under the data folder is damaged; others mend it."),
+    Event.CONFIG_REFUSED: (
+        logging.WARNING,
+        "configuration refused",
+        "What an operator sent is invalid; the reason is told.",
+    ),
+    Event.CONFIG_STANDS: (
+        logging.INFO,
+        "configuration stands",
+        "Enough disks have it; the operator was told 200.",
+    ),
+    Event.CONFIG_UNREADABLE: (
+        logging.ERROR,
+        "configuration file unreadable",
+        "A file under the data folder is damaged; others mend it.",
+    ),
     Event.TARGET_NEW: (logging.INFO, "target new", "A target announced itself."),
     Event.TARGET_DRAINING: (logging.INFO, "target draining", "A target said that it leaves."),
-    Event.TARGET_GONE: (logging.INFO, "target gone", "It deregistered, fell silent, or another life has its address."),
+    Event.TARGET_GONE: (
+        logging.INFO,
+        "target gone",
+        "It deregistered, fell silent, or another life has its address.",
+    ),
     Event.BEAT_BAD: (logging.WARNING, "beat refused", "A target sent what can't be read."),
     Event.DISK_READ: (logging.INFO, "disk read", "The records of the earlier life were read."),
     Event.DISK_FAILED: (logging.CRITICAL, "disk failed", "A sync failed, which is final: the process ends."),
-    Event.DISK_EMPTY: (logging.WARNING, "disk empty", "This is not the first start: the disk was lost and is mended."),
+    Event.DISK_EMPTY: (
+        logging.WARNING,
+        "disk empty",
+        "This is not the first start: the disk was lost and is mended.",
+    ),
     Event.MENDED: (logging.INFO, "mended", "Copies were compared with a peer's and made alike."),
-    Event.TAKEN_OVER: (logging.WARNING, "messages taken over", "Their holder is dead; this process delivers them."),
+    Event.TAKEN_OVER: (
+        logging.WARNING,
+        "messages taken over",
+        "Their holder is dead; this process delivers them.",
+    ),
     Event.HANDED_OVER: (logging.INFO, "messages handed over", "This process leaves; others deliver them."),
-    Event.DISK_FULL: (logging.ERROR, "disk nearly full", "New messages are turned away until some have ended."),
+    Event.DISK_FULL: (
+        logging.ERROR,
+        "disk nearly full",
+        "New messages are turned away until some have ended.",
+    ),
     Event.ENDED_DEAD: (logging.INFO, "dead letter", "A message can't be delivered; its status tells so."),
     Event.ANSWER_ODD: (logging.WARNING, "odd answer", "A target answered what the protocol does not know."),
     Event.MODULE_NOTE: (logging.INFO, "delivery", "What the decision module has to say."),
-    Event.REQUEST_FAILED: (logging.ERROR, "request failed", "A fault of the program while a request was served."),
+    Event.REQUEST_FAILED: (
+        logging.ERROR,
+        "request failed",
+        "A fault of the program while a request was served.",
+    ),
 }
 
 
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -26,7 +26,9 @@
 from huts.waymark import Boot, Configuration
 
 ROSTER = "stores"  # the name under which the stores are noted on disk
-TAKE_STILL = 2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
+TAKE_STILL = (
+    2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
+)
 LEASE = 6.0  # seconds for which a member counts after its last word
 
 
@@ -34,7 +36,13 @@
     """See the module. `failed` is told when the disk can be believed no more."""
 
     def __init__(
-        self, boot: Boot, machine: Machine, offload: Offload, life: int, seed: int, failed: Callable[[OSError], None]
+        self,
+        boot: Boot,
+        machine: Machine,
+        offload: Offload,
+        life: int,
+        seed: int,
+        failed: Callable[[OSError], None],
     ) -> None:
         self.boot, self.machine, self.tasks = boot, machine, Tasks()
         self._offload, self._seed, self._failed = offload, seed, failed
@@ -87,7 +95,9 @@
         able = [p for n, p in self.stores().items() if p.up and self.serving(n)]
         members = self.roster.members
         mine = (self.boot.zone, self.boot.region)
-        return sorted(able, key=lambda p: (members[p.name].zone != mine[0], members[p.name].region != mine[1]))
+        return sorted(
+            able, key=lambda p: (members[p.name].zone != mine[0], members[p.name].region != mine[1])
+        )
 
     def serving(self, node: str) -> bool:
         """Whether a store said that it takes messages and copies."""
@@ -135,7 +145,10 @@
     # What is said on links by itself.
 
     def hello(self) -> dict[str, Any]:
-        return {"me": self.me.told(), "roster": [m.told() for m in self.roster.members.values()]} | self.beat()
+        return {
+            "me": self.me.told(),
+            "roster": [m.told() for m in self.roster.members.values()],
+        } | self.beat()
 
     def beat(self) -> dict[str, Any]:
         phase = self.keeper.phase.value if self.keeper is not None else None
@@ -244,7 +257,10 @@
         most = max(16, (boot.max_fds - 300) // 2)
         if "front" in boot.listen:
             handler = Front(
-                lambda: self.cairn.force, self.near_stores, self.other_stores, lambda: max(1, len(self.stores()))
+                lambda: self.cairn.force,
+                self.near_stores,
+                self.other_stores,
+                lambda: max(1, len(self.stores())),
             )
             self.front = Gate(boot.listen["front"], handler.handle, most, self.tasks, self.machine)
             self.front.start()
@@ -253,7 +269,13 @@
         self._clerk: desks.Clerk = desks.Passer(self.near_stores)
         if self.keeper is not None and self.targets is not None:
             self._clerk = desks.Keeper(
-                self.cairn, self.targets, self.tasks, self.other_stores, self._needed, self._whole, NoRetirement()
+                self.cairn,
+                self.targets,
+                self.tasks,
+                self.other_stores,
+                self._needed,
+                self._whole,
+                NoRetirement(),
             )
         if "control" in boot.listen:
             self.desk = Gate(boot.listen["control"], Desk(self._clerk).handle, most, self.tasks, self.machine)
@@ -307,7 +329,7 @@
         self.targets.wrong(id, asyncio.get_running_loop().time())
 
     def _parts(self) -> int:
-        """By how many a limit is shared: all that deliver, alive or not, for the dead may have sent just now."""
+        """By how many a limit is shared: all that deliver, for the dead may have sent just now."""
         return max(1, len(self.roster.stores()))
 
     def _needed(self) -> int:
@@ -358,7 +380,9 @@
                 self.desk.close_listener()
                 self.desk.drain(True)
             await self.descent.close(self.keeper.hand_over, until)
-            while loop.time() < until - 1.0 and (self.keeper.busy or (self.desk is not None and self.desk.busy)):
+            while loop.time() < until - 1.0 and (
+                self.keeper.busy or (self.desk is not None and self.desk.busy)
+            ):
                 await asyncio.sleep(0.02)
             for peer in self._peers.values():
                 peer.flush()
--- a/huts/lookout/targets.py
+++ b/huts/lookout/targets.py
@@ -48,8 +48,8 @@
     def told(self, now: float) -> list[Any]:
         """As one store tells another."""
         return [
-            self.id, self.service, list(self.address), self.zone, self.capacity, int(self.state), self.sequence,
-            now - self.heard, self.warm - now,
+            self.id, self.service, list(self.address), self.zone, self.capacity, int(self.state),
+            self.sequence, now - self.heard, self.warm - now,
         ]  # fmt: skip
 
 
@@ -70,8 +70,8 @@
             capacity, sequence = _number(told["capacity"]), _number(told["sequence"])
             warm = _number(told.get("warmup_left_ms", 0)) / 1000
             target = Target(
-                _text(id), _text(told["service"]), (host, int(port)), _text(told.get("zone", "")), max(1, int(capacity)),
-                state, int(sequence), now, now + warm,
+                _text(id), _text(told["service"]), (host, int(port)), _text(told.get("zone", "")),
+                max(1, int(capacity)), state, int(sequence), now, now + warm,
             )  # fmt: skip
             if not host or not 0 < target.address[1] < 65536:
                 raise ValueError("address")
@@ -91,7 +91,17 @@
         """What another store knows of a target."""
         id, service, address, zone, capacity, state, sequence, age, warm = told
         self._take(
-            Target(id, service, (address[0], address[1]), zone, capacity, TargetState(state), sequence, now - age, now + warm),
+            Target(
+                id,
+                service,
+                (address[0], address[1]),
+                zone,
+                capacity,
+                TargetState(state),
+                sequence,
+                now - age,
+                now + warm,
+            ),
             now,
         )
 
@@ -118,7 +128,13 @@
         if before is not None:  # another life, perhaps of another service, has its address
             self._become(before, TargetState.GONE)
         self._by_address[target.address] = target
-        say(Event.TARGET_NEW, target.id, target.service, f"{target.address[0]}:{target.address[1]}", target.zone)
+        say(
+            Event.TARGET_NEW,
+            target.id,
+            target.service,
+            f"{target.address[0]}:{target.address[1]}",
+            target.zone,
+        )
         self._changed(target)
 
     def _become(self, target: Target, state: TargetState) -> None:
--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -66,8 +66,8 @@
         limits: tuple[float, float],
         keep_s: float,
     ) -> None:
-        """`stores` are the other stores by node, `serving` whether one said that it takes copies; `limits` are
-        bytes of memory and of disk."""
+        """`stores` are the other stores by node, `serving` whether one said that it takes copies; `limits`
+        are bytes of memory and of disk."""
         self.me, self.shelf, self.ledger = me, shelf, ledger
         self._tasks, self._enough, self._stores, self._serving = tasks, enough, stores, serving
         self._memory, self._disk, self._keep_s = limits[0] * IN_MEMORY, limits[1] * ROOM, keep_s
@@ -257,7 +257,9 @@
         if record is not None:
             if set(told["keepers"]) - set(record.keepers):
                 self.shelf.keep_by(record, sorted({*record.keepers, *map(str, told["keepers"])}))
-            self._merge(record, State(told["state"]), told["seal"], told["epoch"], told["holder"], told["attempts"])
+            self._merge(
+                record, State(told["state"]), told["seal"], told["epoch"], told["holder"], told["attempts"]
+            )
             return record
         if told["state"] == State.QUEUED and told["body"] is None:
             return None
@@ -481,7 +483,12 @@
 
     async def _sweep(self, now: float) -> None:
         for record in list(self.shelf.records.values()):
-            if record.open and record.holder == self.me and now > record.end + LATE and self.phase is Phase.SERVING:
+            if (
+                record.open
+                and record.holder == self.me
+                and now > record.end + LATE
+                and self.phase is Phase.SERVING
+            ):
                 if self.deliverer.withdraw(record):
                     say(Event.ENDED_DEAD, record.id, "retention")
                     self.finish(record, State.DEAD)
--- a/huts/refuge/ledger.py
+++ b/huts/refuge/ledger.py
@@ -33,7 +33,9 @@
         self._db.execute("PRAGMA journal_mode=WAL")
         self._db.execute("PRAGMA synchronous=FULL")
         self._db.execute("PRAGMA cache_size=-2000")
-        self._db.execute("CREATE TABLE IF NOT EXISTS records (id TEXT PRIMARY KEY, meta BLOB, body BLOB) WITHOUT ROWID")
+        self._db.execute(
+            "CREATE TABLE IF NOT EXISTS records (id TEXT PRIMARY KEY, meta BLOB, body BLOB) WITHOUT ROWID"
+        )
         self._db.execute("CREATE TABLE IF NOT EXISTS marks (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
         self._writes: list[_Write] = []
         self._sync = GroupSync(self, offload, failed)
@@ -46,7 +48,10 @@
     def put(self, record: Record, now: float) -> None:
         """Write a record with its body."""
         self._writes.append(
-            ("INSERT OR REPLACE INTO records VALUES (?, ?, ?)", (record.id, self._meta(record, now), record.body))
+            (
+                "INSERT OR REPLACE INTO records VALUES (?, ?, ?)",
+                (record.id, self._meta(record, now), record.body),
+            )
         )
 
     def mark(self, record: Record, now: float) -> None:
--- a/huts/refuge/record.py
+++ b/huts/refuge/record.py
@@ -1,4 +1,4 @@
-"""What is kept of a message. It only grows: merging two copies in any order, any number of times, is the same.
+"""What is kept of a message. It only grows: copies merged in any order, any number of times, are the same.
 
 A copy is newer if it has ended while the other has not, if it is a success while the other is none, or if
 its holder came later (`epoch`). Attempts count only what a target answered with 500.
@@ -27,8 +27,8 @@
     """A message. `due`, `end` and `ended` are in the loop's time; what is kept on disk is the time of day."""
 
     __slots__ = (
-        "attempts", "body", "content", "due", "end", "ended", "epoch", "holder", "host", "id", "keepers", "mark",
-        "method", "path", "seal", "sent", "state", "version",
+        "attempts", "body", "content", "due", "end", "ended", "epoch", "holder", "host", "id", "keepers",
+        "mark", "method", "path", "seal", "sent", "state", "version",
     )  # fmt: skip
 
     def __init__(self, id: str, host: str, method: str, path: str, content: str, body: bytes | None) -> None:
@@ -84,7 +84,12 @@
     def read(told: dict[str, Any], now: float) -> Record:
         """From what was sent, or from disk: `now` is what its times are counted from."""
         record = Record(
-            str(told["id"]), str(told["host"]), str(told["method"]), str(told["path"]), str(told["content"]), told["body"]
+            str(told["id"]),
+            str(told["host"]),
+            str(told["method"]),
+            str(told["path"]),
+            str(told["content"]),
+            told["body"],
         )
         record.state, record.seal = State(told["state"]), str(told["seal"])
         record.holder, record.epoch = str(told["holder"]), int(told["epoch"])
--- a/huts/refuge/shelf.py
+++ b/huts/refuge/shelf.py
@@ -88,7 +88,9 @@
         ours = self._digests.get(node, [0] * RANGES)
         return [at for at in range(RANGES) if at >= len(theirs) or ours[at] != theirs[at]]
 
-    def compare(self, node: str, ranges: list[int], theirs: dict[str, list[Any]]) -> tuple[list[str], list[Record]]:
+    def compare(
+        self, node: str, ranges: list[int], theirs: dict[str, list[Any]]
+    ) -> tuple[list[str], list[Record]]:
         """The ids of which they know more, and our records of which they know less."""
         ours = {r.id: r for r in self.shared(node, ranges)}
         want = []
--- a/huts/register/roster.py
+++ b/huts/register/roster.py
@@ -74,7 +74,9 @@
 
     def leased(self, now: float, lease: float) -> list[Member]:
         """Those whose lease is running, ourselves among them."""
-        return [m for n, m in self.members.items() if n == self.me.node or now - self._heard.get(n, -1e9) < lease]
+        return [
+            m for n, m in self.members.items() if n == self.me.node or now - self._heard.get(n, -1e9) < lease
+        ]
 
     def stores(self) -> list[Member]:
         """All that keep state, by name."""
--- a/huts/rope/peer.py
+++ b/huts/rope/peer.py
@@ -162,7 +162,6 @@
             except TimeoutError:
                 continue
 
-
     def _beaten(self, future: asyncio.Future[Any]) -> None:
         if not future.cancelled() and future.exception() is None:
             self._words.beaten(self, future.result())
--- a/huts/trailhead/desk.py
+++ b/huts/trailhead/desk.py
@@ -83,9 +83,11 @@
             case "GET", ["api", "configuration", "retrieve"]:
                 return await self._retrieve()
             case "POST", ["api", "retire", node, "initiate"]:
-                return await self._retire.initiate(node, body)
+                answer: Answer = await self._retire.initiate(node, body)
+                return answer
             case "GET", ["api", "retire", node, "retrieve"]:
-                return await self._retire.retrieve(node)
+                told: Answer = await self._retire.retrieve(node)
+                return told
             case _, ["api", "instances", _, "heartbeat" | "deregister"]:
                 return Answer.cause(405, "POST")
             case _:
@@ -130,7 +132,9 @@
     async def _retrieve(self) -> Answer:
         """The newest that stands: ours, once enough others have said that theirs is no newer."""
         others: list[Peer] = self._others()
-        versions = await asyncio.gather(*(p.ask("version", None, READ) for p in others), return_exceptions=True)
+        versions = await asyncio.gather(
+            *(p.ask("version", None, READ) for p in others), return_exceptions=True
+        )
         heard = [v for v in versions if isinstance(v, list)]
         if not self._whole() or len(heard) < self._needed():
             return Answer.cause(503, "too few machines with a disk can be reached")
--- a/huts/trailhead/front.py
+++ b/huts/trailhead/front.py
@@ -58,8 +58,8 @@
             return reply.send(400, body=b'{"cause":"Emberlatch-Attempt-Id or Emberlatch-Delay-Ms"}')
         told = {
             "id": id, "host": host, "method": request.method.decode("latin-1"), "path": target,
-            "content": headers.get("content-type", ""), "body": bytes(request.body), "age": 0.0, "delay": delay,
-            "retention": float(route.retention_s), "version": config.revision, "tries": 0,
+            "content": headers.get("content-type", ""), "body": bytes(request.body), "age": 0.0,
+            "delay": delay, "retention": float(route.retention_s), "version": config.revision, "tries": 0,
         }  # fmt: skip
         await self._take(told, reply)
 
--- a/huts/trailhead/server.py
+++ b/huts/trailhead/server.py
@@ -21,7 +21,9 @@
 class Gate(Server):
     """`handle` is a coroutine function of request and reply."""
 
-    def __init__(self, address: Address, handle: Any, most_clients: int, tasks: Tasks, machine: Machine) -> None:
+    def __init__(
+        self, address: Address, handle: Any, most_clients: int, tasks: Tasks, machine: Machine
+    ) -> None:
         super().__init__(address, self._submit, most_clients, tasks, machine=machine, single=SINGLE)
         self._handle, self._own = handle, tasks
         self.busy = 0  # requests that have no answer yet
--- a/huts/waymark/boot.py
+++ b/huts/waymark/boot.py
@@ -1,4 +1,4 @@
-"""The settings file of a process: TOML, its fields named in the users' DEPLOY page; unknown ones are ignored."""
+"""The settings file of a process: TOML, fields as in the users' DEPLOY page; unknown ones are ignored."""
 
 from __future__ import annotations
 
@@ -121,8 +121,10 @@
         return host, int(port)
 
     def _bounds(self) -> Bounds:
-        names = Bounds.__dataclass_fields__
-        return Bounds(**{n: self._number(f"bounds.{n}", names[n].default) for n in names})
+        usual = Bounds()
+        return Bounds(
+            **{n: self._number(f"bounds.{n}", getattr(usual, n)) for n in Bounds.__dataclass_fields__}
+        )
 
     def boot(self) -> Boot:
         """All of it."""
--- a/huts/weather/__init__.py
+++ b/huts/weather/__init__.py
@@ -1,4 +1,4 @@
-"""Whole clusters of the real code in one process: simulated network, disks, clock, targets, clients, operators."""
+"""Whole clusters of the real code in one process, on a simulated network, disk and clock."""
 
 from huts.weather.history import Breach, History
 from huts.weather.mountain import Fault, Mountain, Plan
--- a/huts/weather/actors.py
+++ b/huts/weather/actors.py
@@ -17,10 +17,21 @@
     from huts.weather.mountain import Mountain
 
 MOST = 1 << 20
-REASON = {200: "OK", 409: "Conflict", 421: "Misdirected", 422: "Never", 429: "Limit", 500: "Failed", 503: "Full", 504: "Late"}
-
-
-async def ask(address: tuple[str, int], method: str, path: str, body: bytes, headers: dict[str, str], timeout: float) -> Response:
+REASON = {
+    200: "OK",
+    409: "Conflict",
+    421: "Misdirected",
+    422: "Never",
+    429: "Limit",
+    500: "Failed",
+    503: "Full",
+    504: "Late",
+}
+
+
+async def ask(
+    address: tuple[str, int], method: str, path: str, body: bytes, headers: dict[str, str], timeout: float
+) -> Response:
     """One request on a connection of its own; OSError, BrokenError or TimeoutError if there is no answer."""
     async with asyncio.timeout(timeout):
         connection: Connection = await connect(address, timeout, MOST)
@@ -97,7 +108,9 @@
             self.sequence += 1
             body = json.dumps(told | {"sequence": self.sequence}).encode()
             try:
-                answer = await ask(control, "POST", f"/api/instances/{self.id}/heartbeat", body, {"Host": "c"}, 1.0)
+                answer = await ask(
+                    control, "POST", f"/api/instances/{self.id}/heartbeat", body, {"Host": "c"}, 1.0
+                )
             except (OSError, BrokenError, TimeoutError):
                 continue
             if answer.status == 200:
@@ -192,7 +205,14 @@
         deadline = loop.time() + 0.5
         for _ in range(3):
             world.count += 1
-            sent = Sent(f"{world.count:x}m{self.random.randrange(1 << 32):x}", loop.time(), delay, service, body, poison)
+            sent = Sent(
+                f"{world.count:x}m{self.random.randrange(1 << 32):x}",
+                loop.time(),
+                delay,
+                service,
+                body,
+                poison,
+            )
             headers = {"Host": host, "Emberlatch-Attempt-Id": sent.id, "Emberlatch-Deadline-Ms": "500"}
             if delay:
                 headers["Emberlatch-Delay-Ms"] = str(round(delay * 1000))
@@ -201,7 +221,9 @@
                 return
             world.history.sent[sent.id] = sent
             try:
-                answer = await ask(front, "POST", f"{prefix}x", body, headers, max(0.01, deadline - loop.time()))
+                answer = await ask(
+                    front, "POST", f"{prefix}x", body, headers, max(0.01, deadline - loop.time())
+                )
             except (OSError, BrokenError, TimeoutError):
                 return
             sent.answer, sent.answered = answer.status, loop.time()
@@ -237,7 +259,9 @@
         """Anything; the status of the answer."""
         for control in self.world.controls() * 3:
             try:
-                return (await ask(control, "POST", "/api/configuration/replace", body, {"Host": "c"}, 1.0)).status
+                return (
+                    await ask(control, "POST", "/api/configuration/replace", body, {"Host": "c"}, 1.0)
+                ).status
             except (OSError, BrokenError, TimeoutError):
                 continue
         return 0
--- a/huts/weather/history.py
+++ b/huts/weather/history.py
@@ -43,7 +43,7 @@
 
 @dataclass
 class History:
-    """Everything that was seen, by the loop's time; `calm` is how long after a fault its effects are excused."""
+    """Everything that was seen, by the loop's time; `calm`: how long a fault's effects are excused."""
 
     calm: float = 4.0
     sent: dict[str, Sent] = field(default_factory=dict)
@@ -88,7 +88,9 @@
         for sent in self.sent.values():
             runs = self.runs.get(sent.id, [])
             if sent.answer in (408, 421, 429, 503) and runs:
-                self.breach("REFUSED", runs[0].at, f"{sent.id} was answered {sent.answer} at {sent.answered:.2f}")
+                self.breach(
+                    "REFUSED", runs[0].at, f"{sent.id} was answered {sent.answer} at {sent.answered:.2f}"
+                )
             if sent.answer == 202:
                 self._judge_accepted(sent, runs, most_attempts, retention, now)
         if self.acknowledged and self.read_back < max(self.acknowledged):
@@ -113,4 +115,6 @@
         for at in range(len(times)):
             count = sum(times[at] <= other < times[at] + window for other in times[at:])
             if count > most:
-                return self.breach("CEILING", times[at], f"{service}: {count} in {window:g} s, {most:.0f} at most")
+                return self.breach(
+                    "CEILING", times[at], f"{service}: {count} in {window:g} s, {most:.0f} at most"
+                )
--- a/huts/weather/mountain.py
+++ b/huts/weather/mountain.py
@@ -1,4 +1,4 @@
-"""A simulated deployment: machines in zones, each running the real `Hut`, on one virtual clock and network."""
+"""A simulated deployment: machines in zones, each with the real `Hut`, on one virtual clock and network."""
 
 from __future__ import annotations
 
@@ -62,7 +62,8 @@
 
     def lag(self, sender: Process | None, receiver: Process | tuple[str, int] | None) -> float:
         names = [
-            p.name if isinstance(p, Process) else p[0] if isinstance(p, tuple) else "" for p in (sender, receiver)
+            p.name if isinstance(p, Process) else p[0] if isinstance(p, tuple) else ""
+            for p in (sender, receiver)
         ]
         zones = [self._zone_of(name) for name in names]
         delay = self.delay() + (0.0014 if zones[0] != zones[1] else 0.0)
@@ -89,15 +90,20 @@
 
     def boot(self) -> Boot:
         """What its process is told."""
-        listen = {"control": (self.host, CONTROL)} if self.store else {"front": (self.host, FRONT), "ready": (self.host, READY)}
+        listen = (
+            {"control": (self.host, CONTROL)}
+            if self.store
+            else {"front": (self.host, FRONT), "ready": (self.host, READY)}
+        )
         world = self.world
         return Boot(
             node=self.name, role="hut", node_class="store" if self.store else "front",
-            serves=("store", "control") if self.store else ("front",), ip=self.host, zone=self.zone, region="r",
-            inner_port=INNER, seeds=tuple((n.host, CONTROL) for n in world.nodes.values() if n.store)[:3],
+            serves=("store", "control") if self.store else ("front",), ip=self.host, zone=self.zone,
+            region="r", inner_port=INNER,
+            seeds=tuple((n.host, CONTROL) for n in world.nodes.values() if n.store)[:3],
             initial_start=self.lives == 0 and world.first, counted=self.store,
-            data_dir=self.folder if self.store else None, listen=listen, memory_mb=300, max_fds=4000, disk_mb=400,
-            heartbeat_ms=world.beat_s * 1000,
+            data_dir=self.folder if self.store else None, listen=listen, memory_mb=300,
+            max_fds=4000, disk_mb=400, heartbeat_ms=world.beat_s * 1000,
             bounds=Bounds(grace_s=world.grace_s, origin_window_s=5.0), resilience=Resilience(),
         )  # fmt: skip
 
@@ -182,7 +188,9 @@
         self.loop = VirtualLoop()
         self.random = random.Random(plan.seed)
         random.seed(plan.seed)
-        self.folder = Path(tempfile.mkdtemp(prefix="huts-", dir="/dev/shm" if Path("/dev/shm").is_dir() else None))
+        self.folder = Path(
+            tempfile.mkdtemp(prefix="huts-", dir="/dev/shm" if Path("/dev/shm").is_dir() else None)
+        )
         self._zones: dict[str, str] = {}
         self.network = Net(self.loop, plan.seed, lambda host: self._zones.get(host, ""))
         self.history = History()
@@ -208,20 +216,24 @@
             {
                 "name": f"r-{service}", "host_name": host, "path_prefix": prefix, "route_type": "deferred",
                 "guard_timer_ms": 1000 + revision % 7, "nominal_ms": 80, "priority": 1, "service": service,
-                "max_attempts": 4, "in_order": False, "retention_s": 60.0, "notify_uri": False, "nominal_start_ms": 800,
+                "max_attempts": 4, "in_order": False, "retention_s": 60.0, "notify_uri": False,
+                "nominal_start_ms": 800,
             }
             for service, host, prefix in self.places
         ]  # fmt: skip
         services: list[dict[str, Any]] = [{"name": name, "max_connections": 60} for name in self.services]
         if self.plan.rate:
-            services.append({"name": "outside", "rate_per_s": self.plan.rate, "fixed_endpoint": "172.20.0.3:8043"})
+            services.append(
+                {"name": "outside", "rate_per_s": self.plan.rate, "fixed_endpoint": "172.20.0.3:8043"}
+            )
         return {"revision": revision, "route_entries": routes, "services": services, "limits": {}}
 
     def run_in(self, process: Process, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run something in a process."""
         context = contextvars.copy_context()
         context.run(current.set, process)
-        return self.loop.create_task(work, context=context)
+        task: asyncio.Task[Any] = self.loop.create_task(work, context=context)
+        return task
 
     def later(self, seconds: float, what: Callable[[], None]) -> None:
         """Something outside of all processes, after a while."""
@@ -235,7 +247,9 @@
 
     def front(self, zone: str, chance: random.Random) -> tuple[str, int] | None:
         """A forwarder that said that it is ready, of this zone if there is one."""
-        ready = [n for n in self.nodes.values() if not n.store and n.up and n.hut is not None and not n.hut.lacks()]
+        ready = [
+            n for n in self.nodes.values() if not n.store and n.up and n.hut is not None and not n.hut.lacks()
+        ]
         own = [n for n in ready if n.zone == zone] or ready
         return (chance.choice(own).host, FRONT) if own else None
 
--- a/huts/weather/play.py
+++ b/huts/weather/play.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from emberlatch.faults.run import abandon
@@ -15,11 +16,13 @@
 
 SETTLE = 12.0  # seconds after the last message until the end is asked for
 NODE_FAULTS = ("kill", "term", "power", "freeze")
-ONE_AT_A_TIME = 9.0  # seconds between losses of stores: one may be lost at once, and is lost until it is whole
+ONE_AT_A_TIME = (
+    9.0  # seconds between losses of stores: one may be lost at once, and is lost until it is whole
+)
 
 
 def draw(seed: int, strange: bool = False) -> Plan:
-    """A drawn deployment and day; `strange` ones lose stores faster than the settings allow for planned work."""
+    """A drawn deployment and day; `strange` ones lose stores faster than the settings allow."""
     chance = random.Random(f"plan {seed}")
     stores = chance.choice((3, 3, 3, 4, 5))
     fronts = chance.randrange(2, 7)
@@ -33,9 +36,18 @@
             at += ONE_AT_A_TIME if what in ("wipe", "power", "freeze", "kill") and not strange else 2.5
             continue
         if kind < 0.6:
-            faults.append(Fault(at, chance.choice(("kill", "term", "power")), f"f{chance.randrange(fronts)}", 2.0))
+            faults.append(
+                Fault(at, chance.choice(("kill", "term", "power")), f"f{chance.randrange(fronts)}", 2.0)
+            )
         elif kind < 0.75:
-            faults.append(Fault(at, chance.choice(("target crash", "target leave", "target reuse", "lose answers")), "", 2.0))
+            faults.append(
+                Fault(
+                    at,
+                    chance.choice(("target crash", "target leave", "target reuse", "lose answers")),
+                    "",
+                    2.0,
+                )
+            )
         elif kind < 0.9:
             faults.append(Fault(at, "configuration"))
         else:
@@ -59,9 +71,9 @@
         self.operator = Operator(world)
         self.revision = 3
 
-    async def run(self) -> None:
-        """From the first start to the last question."""
-        world, plan, loop = self.world, self.plan, self.world.loop
+    async def start(self) -> None:
+        """The first start, targets and a configuration."""
+        world, plan = self.world, self.plan
         for node in world.nodes.values():
             node.start()
         zones = sorted({n.zone for n in world.nodes.values()})
@@ -72,6 +84,12 @@
         assert await self.operator.send(self.revision), "no configuration was taken"
         await asyncio.sleep(2.5)
         world.first = False
+
+    async def run(self) -> None:
+        """From the first start to the last question."""
+        world, plan, loop = self.world, self.plan, self.world.loop
+        await self.start()
+        zones = sorted({n.zone for n in world.nodes.values()})
         for fault in plan.faults:
             world.later(fault.at, lambda fault=fault: self.fault(fault))  # type: ignore[misc]
         await asyncio.gather(*(Clients(world, z, plan.per_s / len(zones)).run(plan.seconds) for z in zones))
@@ -125,7 +143,11 @@
 
     def _target_fault(self, what: str) -> None:
         world = self.world
-        alive = [t for t in world.targets.values() if t.process.alive and t.state == "in_service" and t.service != "outside"]
+        alive = [
+            t
+            for t in world.targets.values()
+            if t.process.alive and t.state == "in_service" and t.service != "outside"
+        ]
         if not alive:
             return
         target = world.random.choice(alive)
@@ -134,7 +156,11 @@
             world.loop.create_task(world.add_target(target.service, target.zone))
         else:
             target.crash()
-            other = next(s for s in world.services if s != target.service) if what == "target reuse" else target.service
+            other = (
+                next(s for s in world.services if s != target.service)
+                if what == "target reuse"
+                else target.service
+            )
 
             async def back() -> None:
                 await asyncio.sleep(2.1)
@@ -172,12 +198,15 @@
         return bytes(answer.body) if answer.status == 200 else None
 
 
-def play(plan: Plan, *more: Any) -> tuple[Mountain, list[Breach]]:
-    """Play a plan to its end; the world as it was left, and what was wrong."""
+def play(
+    plan: Plan, scene: Callable[[Day], Coroutine[Any, Any, None]] | None = None
+) -> tuple[Mountain, list[Breach]]:
+    """Play a plan to its end, or a scene of one's own in its deployment; the world as it was left, and what
+    was wrong."""
     world = Mountain(plan)
     try:
         day = Day(world)
-        world.loop.run_until_complete(day.run())
+        world.loop.run_until_complete(day.run() if scene is None else scene(day))
         for failure in world.loop.failures:
             world.history.breach("FAULT", world.loop.time(), failure)
         return world, sorted(world.history.breaches, key=lambda b: b.at)
--- /dev/null
+++ b/tests/huts/support.py
@@ -0,0 +1,72 @@
+"""What the cluster tests share."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from huts.refuge import Record, State
+from huts.weather import Breach, Fault, Mountain, Plan, play
+from huts.weather.actors import ask
+from huts.weather.history import Sent
+from huts.weather.mountain import FRONT
+from huts.weather.play import Day
+
+
+def day(*faults: Fault, seed: int = 7, **more: Any) -> tuple[Mountain, list[Breach]]:
+    """A short day with these faults."""
+    told = {"seconds": 6.0, "per_s": 30.0, "poison": 0.0} | more
+    return play(Plan(seed, faults=faults, **told))
+
+
+def kept(world: Mountain) -> None:
+    """Every accepted message is completed, and there were some."""
+    accepted = [s for s in world.history.sent.values() if s.answer == 202]
+    assert len(accepted) > 50
+    left = [s.id for s in accepted if world.history.states.get(s.id, ("",))[0] != "completed"]
+    assert not left, left[:3]
+
+
+async def hand_in(scene: Day, front: str = "f0", delay_ms: int = 0, body: bytes = b"x") -> Sent:
+    """One message, by one forwarder."""
+    world = scene.world
+    world.count += 1
+    service, host, prefix = world.places[0]
+    sent = Sent(f"m{world.count}", world.loop.time(), delay_ms / 1000, service, body)
+    world.history.sent[sent.id] = sent
+    headers = {"Host": host, "Emberlatch-Attempt-Id": sent.id}
+    if delay_ms:
+        headers["Emberlatch-Delay-Ms"] = str(delay_ms)
+    answer = await ask((world.nodes[front].host, FRONT), "POST", f"{prefix}x", body, headers, 2.0)
+    sent.answer, sent.answered = answer.status, world.loop.time()
+    return sent
+
+
+def record(id: str = "m", holder: str = "a", keepers: tuple[str, ...] = ("a", "b")) -> Record:
+    """A record as a store has it."""
+    made = Record(id, "h.example", "POST", "/l/x", "", b"body")
+    made.holder, made.epoch, made.keepers = holder, 1, keepers
+    made.end = 1e9
+    return made
+
+
+def on_disk(world: Mountain, id: str) -> list[str]:
+    """The stores that would have the message after a loss of power everywhere."""
+    found = []
+    for name, node in world.nodes.items():
+        if node.hut is not None and node.hut.keeper is not None:
+            rows = node.hut.keeper.ledger._db.execute("SELECT id FROM records WHERE id = ?", (id,)).fetchall()
+            found += [name] if rows else []
+    return found
+
+
+async def until(condition: Any, seconds: float = 10.0) -> None:
+    """Wait in simulated time until something holds."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while not condition():
+        assert loop.time() < end, "it never came to hold"
+        await asyncio.sleep(0.01)
+
+
+__all__ = ["Fault", "Plan", "State", "day", "hand_in", "kept", "on_disk", "play", "record", "until"]
--- /dev/null
+++ b/tests/huts/test_planted.py
@@ -0,0 +1,198 @@
+"""Checkers that never fired prove nothing: faults planted in the code, each caught by a day."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from ward import test
+
+from huts.cairn import Cairn
+from huts.descent import Descent
+from huts.descent.descent import Stage
+from huts.hut import Hut
+from huts.lookout import Targets
+from huts.refuge import Keeper, Record, State
+from huts.weather.play import Day
+from tests.huts.support import Fault, Plan, day, hand_in, play
+
+
+@contextmanager
+def planted(where: Any, name: str, bug: Any) -> Iterator[None]:
+    sound = getattr(where, name)
+    setattr(where, name, bug)
+    try:
+        yield
+    finally:
+        setattr(where, name, sound)
+
+
+def rules(*faults: Fault, **more: Any) -> set[str]:
+    return {breach.rule for breach in day(*faults, **more)[1]}
+
+
+@test("202 after one disk")
+def _() -> None:
+    with (
+        planted(Keeper, "_partners", lambda self, but: []),
+        planted(Hut, "enough", lambda self, nodes: bool(nodes)),
+    ):
+        assert "LOST" in rules(Fault(3.0, "wipe", "s0", 1.0))
+
+
+@test("a promise after an unclear write")
+def _() -> None:
+    async def void(self: Keeper, record: Record, asked: set[str]) -> bool:
+        return True
+
+    with planted(Keeper, "_void", void):
+
+        async def scene(day: Day) -> None:
+            await day.start()
+            for name in ("s1", "s2"):
+                day.world.nodes[name].power_off(8.0)
+            for _ in range(6):
+                await hand_in(day, "f0")
+            await asyncio.sleep(15.0)
+            day.world.nodes["s0"].kill()
+            await asyncio.sleep(15.0)
+            day.world.history.judge(4, 60.0, day.world.loop.time())
+
+        assert "REFUSED" in {b.rule for b in play(Plan(2), scene)[1]}
+
+
+@test("a message handed over while a call of it is out")
+def _() -> None:
+    async def close(self: Descent, hand_over: Any, until: float) -> None:
+        self.closing = True
+        loads = list(self._loads.values())
+        for load in loads:
+            load.stage = Stage.READY
+        await hand_over([load.record for load in loads])
+
+    with planted(Descent, "close", close):
+        found = set[str]()
+        for seed in range(6):
+            world, breaches = day(
+                *(Fault(0.5 + 2.5 * n, "term", f"s{n}") for n in range(3)), seed=seed, seconds=8.0
+            )
+            found |= {b.rule for b in breaches}
+            if any(len([r for r in runs if r.status == 200]) > 1 for runs in world.history.runs.values()):
+                found.add("TWICE")
+        assert "TWICE" in found
+
+
+@test("an older configuration taken")
+def _() -> None:
+    def hold(self: Cairn, config: Any) -> None:
+        self.held = self.force = config
+        self._have[self._me] = config.revision, ""
+
+    with planted(Cairn, "_hold", hold), planted(Cairn, "newest", property(lambda self: -1)):
+        found = set[str]()
+        for seed in range(4):
+
+            async def scene(day: Day) -> None:
+                await day.start()
+                await day.operator.send(12)
+                await day.operator.send(5)
+                day.world.history.read_back = await day.operator.read_back()
+                day.world.history.judge(4, 60.0, day.world.loop.time())
+
+            found |= {b.rule for b in play(Plan(seed), scene)[1]}
+        assert "CONFIG" in found
+
+
+@test("a late beat that brings a leaving target back")
+def _() -> None:
+    sound = Targets._take
+
+    def take(self: Targets, told: Any, now: float) -> bool:
+        known = self.known.get(told.id)
+        if known is not None and known.state == 1:
+            self.known.pop(told.id)
+            told.state = type(told.state)(0)
+        return sound(self, told, now)
+
+    with planted(Targets, "_take", take):
+        assert "DRAIN" in rules(
+            *(Fault(0.3 + n / 2, "target leave") for n in range(4)), targets=4, per_s=60.0, seconds=10.0
+        )
+
+
+@test("a whole limit for each")
+def _() -> None:
+    with planted(Hut, "_parts", lambda self: 1):
+        assert "CEILING" in rules(rate=4.0, per_s=60.0, seconds=10.0)
+
+
+@test("a lost disk that is not filled again")
+def _() -> None:
+    async def mend(self: Keeper, peer: Any) -> None:
+        self._mended[peer.name] = 1e12
+
+    with planted(Keeper, "mend", mend):
+        found = set[str]()
+        for seed in range(4):
+
+            async def scene(day: Day) -> None:
+                await day.start()
+                for n in range(20):
+                    await hand_in(day, f"f{n % 3}", delay_ms=40_000)
+                day.world.nodes["s0"].power_off(0.5, wipe=True)
+                await asyncio.sleep(12.0)
+                day.world.nodes["s1"].power_off(0.5, wipe=True)
+                await asyncio.sleep(12.0)
+                await day._end()
+                day.world.history.judge(4, 60.0, day.world.loop.time())
+
+            found |= {b.rule for b in play(Plan(seed), scene)[1]}
+        assert "LOST" in found
+
+
+@test("a delay counted anew from each start by another clock")
+def _() -> None:
+    sound = Record.read
+
+    def read(told: dict[str, Any], now: float) -> Record:
+        made = sound(told, now)
+        made.due -= 1.5 if made.state is State.QUEUED and made.due > made.sent else 0.0
+        return made
+
+    with planted(Record, "read", staticmethod(read)):
+        found = set[str]()
+        for seed in range(3):
+            found |= rules(Fault(3.0, "all kill", "", 0.5), seed=seed, per_s=60.0)
+        assert "EARLY" in found
+
+
+@test("a dead letter before its attempts are used up")
+def _() -> None:
+    sound = Descent._outcome
+
+    def outcome(self: Descent, told: Any) -> None:
+        load = self._refs.get(told.ref)
+        if load is not None and load.verdict is not None and load.verdict.value == "failed":
+            load.record.attempts += 3
+        sound(self, told)
+
+    with planted(Descent, "_outcome", outcome):
+        assert "MIXED" in rules(poison=0.1)
+
+
+@test("a second run after a success that was read")
+def _() -> None:
+    sound = Descent._end
+
+    def end(self: Descent, load: Any, state: State, seal: str) -> None:
+        if state is State.DONE and self.random_drop():
+            return self._again(load, 0.2)
+        sound(self, load, state, seal)
+
+    count = iter(range(10_000_000))
+    with planted(Descent, "_end", end):
+        Descent.random_drop = lambda self: next(count) % 10 == 0  # type: ignore[attr-defined]
+        assert "TWICE" in rules()
+        del Descent.random_drop  # type: ignore[attr-defined]
--- /dev/null
+++ b/tests/huts/test_pure.py
@@ -0,0 +1,262 @@
+"""The machines that know no clock, no disk and no link."""
+
+import itertools
+import json
+import random
+import tempfile
+from pathlib import Path
+
+from expression import Result
+from ward import test
+
+from huts.cairn import WordFiles
+from huts.descent.carrier import Verdict, _verdict
+from huts.lookout import BadBeat, Target, Targets, TargetState
+from huts.rations import Window
+from huts.refuge import Record, Shelf, State
+from huts.waymark import SettingsError, read_boot, read_configuration
+from tests.huts.support import record
+
+WORDS = [
+    (State.QUEUED, "", 1, "a", 0),
+    (State.QUEUED, "", 2, "b", 1),
+    (State.VOID, "", 1, "a", 0),
+    (State.DONE, "seal", 1, "a", 2),
+    (State.DEAD, "", 2, "b", 3),
+]
+
+
+def merged(words: tuple[tuple[State, str, int, str, int], ...]) -> tuple[object, ...]:
+    made = record()
+    for word in words:
+        made.merge(*word)
+    return made.state, made.seal, made.epoch, made.holder, made.attempts
+
+
+@test("merging copies in any order, any number of times, gives the same")
+def _() -> None:
+    for count in (2, 3):
+        for words in itertools.product(WORDS, repeat=count):
+            results = {merged(order) for order in itertools.permutations(words)} | {merged(words + words)}
+            assert len(results) == 1, words
+
+
+@test("a success beats everything, and a void beats a copy that waits")
+def _() -> None:
+    assert merged(tuple(WORDS))[0] is State.DONE
+    assert merged((WORDS[2], WORDS[1]))[0] is State.VOID
+
+
+@test("digests of two shelves are alike if and only if what they share is")
+def _() -> None:
+    chance = random.Random(3)
+    ours, theirs = Shelf("a"), Shelf("b")
+    for n in range(500):
+        for shelf in (ours, theirs):
+            if chance.random() < 0.97:
+                shelf.put(record(f"m{n}"))
+    for shelf in (ours, theirs):
+        for one in list(shelf.records.values()):
+            if chance.random() < 0.05:
+                one.merge(State.DONE, "s", 1, "a", 0)
+                shelf.changed(one)
+            elif chance.random() < 0.02:
+                shelf.drop(one)
+    ranges = ours.differ("b", theirs.digests("a"))
+    want, give = ours.compare("b", ranges, theirs.summary("a", ranges))
+    ids = {*ours.records, *theirs.records}
+    unlike = {
+        i
+        for i in ids
+        if (a := ours.records.get(i)) is None or (b := theirs.records.get(i)) is None or a.state != b.state
+    }
+    assert unlike and {*want, *(r.id for r in give)} == unlike
+    for id in want:
+        ours.drop(ours.records[id]) if id in ours.records else None
+        copy = record(id)
+        copy.merge(theirs.records[id].state, "s", 1, "a", 0)
+        ours.put(copy)
+    for one in give:
+        theirs.drop(theirs.records[one.id]) if one.id in theirs.records else None
+        copy = record(one.id)
+        copy.merge(one.state, "s", 1, "a", 0)
+        theirs.put(copy)
+    assert ours.differ("b", theirs.digests("a")) == []
+
+
+def beat(**more: object) -> dict[str, object]:
+    told = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "capacity": 2,
+        "state": "in_service",
+        "sequence": 1,
+    }
+    return told | {"warmup_left_ms": 0} | more
+
+
+@test("a beat out of sequence does not bring a draining target back, nor one that is gone")
+def _() -> None:
+    told: list[Target] = []
+    targets = Targets(1.0, told.append)
+    targets.beat("i-1", beat(sequence=5, state="draining"), 0.0)
+    targets.beat("i-1", beat(sequence=4), 0.1)
+    assert targets.known["i-1"].state is TargetState.DRAINING
+    targets.leave("i-1", 0.2)
+    targets.beat("i-1", beat(sequence=9), 0.3)
+    assert targets.known["i-1"].state is TargetState.GONE
+
+
+@test("an address that another life has announced is the first life's no more")
+def _() -> None:
+    targets = Targets(1.0, lambda _: None)
+    targets.beat("i-1", beat(), 0.0)
+    targets.beat("i-2", beat(service="other"), 1.0)
+    assert (
+        targets.known["i-1"].state is TargetState.GONE
+        and targets.known["i-2"].state is TargetState.IN_SERVICE
+    )
+
+
+@test("a silent target is gone, and what another store says of it later does not bring it back")
+def _() -> None:
+    targets = Targets(1.0, lambda _: None)
+    target, _ = targets.beat("i-1", beat(), 0.0)
+    old = target.told(0.0)
+    targets.tick(5.0)
+    assert targets.known["i-1"].state is TargetState.GONE
+    targets.heard(old, 5.1)
+    assert targets.known["i-1"].state is TargetState.GONE
+
+
+@test("a beat that can't be read is refused by its reason and changes nothing")
+def _() -> None:
+    targets = Targets(1.0, lambda _: None)
+    bad = (
+        {"sequence": "7"},
+        {"capacity": True},
+        {"address": "nowhere"},
+        {"state": "asleep"},
+        {"service": ""},
+        {"capacity": -1},
+    )
+    for wrong in bad:
+        try:
+            targets.beat("i-1", beat(**wrong), 0.0)
+            raise AssertionError(wrong)
+        except BadBeat:
+            pass
+    assert not targets.known
+
+
+def configuration(**more: object) -> dict[str, object]:
+    route = {"name": "r", "host_name": "h", "path_prefix": "/a/", "service": "s", "guard_timer_ms": 500}
+    return {"revision": 1, "route_entries": [route], "services": [{"name": "s"}], "limits": {}} | more
+
+
+@test("a configuration is taken whole or refused with its reason")
+def _() -> None:
+    assert read_configuration(json.dumps(configuration()).encode()).is_ok()
+    route = {"name": "r", "host_name": "h", "path_prefix": "/a/", "service": "s", "guard_timer_ms": 500}
+    wrong = [
+        json.dumps(configuration()).encode()[:-20],
+        b"[]",
+        b"\xff\xfe",
+        json.dumps(configuration(revision="1")).encode(),
+        json.dumps(configuration(revision=True)).encode(),
+        json.dumps(configuration(route_entries=[route | {"service": "t"}])).encode(),
+        json.dumps(configuration(route_entries=[route, route | {"name": "q"}])).encode(),
+        json.dumps(configuration(route_entries=[route | {"guard_timer_ms": 0}])).encode(),
+        json.dumps(configuration(route_entries=[route | {"guard_timer_ms": "500"}])).encode(),
+        json.dumps(configuration(services=[{"name": "s", "rate_per_s": -1}])).encode(),
+        json.dumps({"revision": 1}).encode(),
+        b'{"a":' * 100_000,
+    ]
+    for raw in wrong:
+        read = read_configuration(raw)
+        assert read.is_error(), raw[:80]
+
+
+@test("the longest prefix of the host decides, whatever case and port the host has")
+def _() -> None:
+    routes = [
+        {"name": n, "host_name": "H", "path_prefix": p, "service": "s", "guard_timer_ms": 5}
+        for n, p in (("short", "/a/"), ("long", "/a/b/"))
+    ]
+    match read_configuration(json.dumps(configuration(route_entries=routes)).encode()):
+        case Result(tag="ok", ok=config):
+            names = [
+                r.name if (r := config.route("h:80", path)) else None for path in ("/a/b/c", "/a/c", "/b")
+            ]
+            assert names == ["long", "short", None]
+        case _:
+            raise AssertionError
+
+
+@test("a bad setting is one line with file, line and reason")
+def _() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "local.toml"
+        good = 'node = "a"\nip = "10.0.0.1"\nzone = "z"\nserves = ["front"]\nport_range = [1,2]\nseeds = []\n'
+        listen = '[listen]\nfront = "10.0.0.1:80"\nready = "10.0.0.1:81"\n'
+        path.write_text(good + "unheard_of = 3\n" + listen)
+        assert read_boot(path).inner_port == 1
+        for text, line, word in (
+            (good.replace("[1,2]", '"x"') + listen, 5, "port_range"),
+            (good.replace('"z"', "7") + listen, 3, "zone"),
+            (good + '[listen]\nfront = "nowhere"\nready = "10.0.0.1:81"\n', 8, "front"),
+            (good + listen + "[limits]\nmemory_mb = -1\n", 11, "memory_mb"),
+            ("node = \n", 1, "TOML"),
+        ):
+            path.write_text(text)
+            try:
+                read_boot(path)
+                raise AssertionError(text)
+            except SettingsError as error:
+                assert f"{path}:{line}:" in str(error) and word in str(error), error
+
+
+@test("a part of a rate holds in every sliding window")
+def _() -> None:
+    window, now, sent = Window(5.0), 0.0, list[float]()
+    chance = random.Random(1)
+    for _ in range(2000):
+        now += chance.expovariate(20)
+        if window.room_at(now, 9.0, 3) <= now:
+            window.count(now)
+            sent.append(now)
+    assert max(sum(a <= b < a + 5.0 for b in sent) for a in sent) <= 15
+    assert len(sent) > 0.8 * 3 * now
+
+
+@test("a damaged version is passed over, and a version outlasts those after it that are torn")
+def _() -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        files = WordFiles(Path(folder))
+        for revision in (3, 5, 8):
+            files.write(revision, json.dumps(configuration(revision=revision)).encode())
+        newest = max(Path(folder).iterdir())
+        newest.write_bytes(newest.read_bytes()[:30])
+        raw = WordFiles(Path(folder)).newest()
+        assert raw is not None and json.loads(raw)["revision"] == 5
+
+
+@test("what an answer says of its message")
+def _() -> None:
+    said = {
+        (200, "seal", False): Verdict.DONE, (200, "", False): Verdict.UNKNOWN, (500, "", False): Verdict.FAILED,
+        (422, "", False): Verdict.NEVER, (421, "", True): Verdict.ELSEWHERE, (409, "", True): Verdict.RUNNING,
+        (503, "", True): Verdict.FULL, (429, "", True): Verdict.FULL, (504, "", False): Verdict.UNKNOWN,
+    }  # fmt: skip
+    for (status, seal, not_run), verdict in said.items():
+        assert _verdict(status, seal, not_run) is verdict, status
+
+
+@test("what is told of a record and read again is the same, whatever the other's clock says")
+def _() -> None:
+    made = record()
+    made.sent, made.due, made.end, made.version = 100.0, 104.0, 190.0, 7
+    copy = Record.read(made.told(101.0, made.body), 5001.0)
+    assert (copy.due - 5001.0, copy.end - 5001.0, copy.version, copy.ended) == (3.0, 89.0, 7, 0.0)
+    assert copy.fingerprint() == made.fingerprint()
