--- a/huts/guide/__init__.py
+++ b/huts/guide/__init__.py
@@ -1,4 +1,4 @@
-"""The operator's command line."""
+"""The operator's command line: imported where somebody types, never on a role's path."""
 
 from huts.guide.main import main
 
--- /dev/null
+++ b/huts/guide/checks.py
@@ -0,0 +1,65 @@
+"""Checking files, and the catalogue of events."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from pathlib import Path
+
+from expression import Result
+
+from huts.events import TEXTS
+from huts.waymark import SettingsError, read_boot, read_configuration
+
+
+def check(files: list[Path]) -> int:
+    """0 if all are sound; else a line for each fault, and 2."""
+    faults = []
+    for path in files:
+        if path.suffix == ".toml":
+            try:
+                read_boot(path)
+            except SettingsError as error:
+                faults.append(str(error))
+            continue
+        try:
+            raw = path.read_bytes()
+        except OSError as error:
+            faults.append(f"{path}:0: can't be read: {error.strerror}")
+            continue
+        match read_configuration(raw):
+            case Result(tag="error", error=reason):
+                faults.append(f"{path}:{_line(raw, reason)}: {reason}")
+            case _:
+                pass
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    return 2 if faults else 0
+
+
+def _line(raw: bytes, reason: str) -> int:
+    """The first line that holds what the reason names; 0 if none does."""
+    words = [word.strip(":,") for word in reason.split() if len(word) > 2]
+    lines = raw.decode("utf-8", "replace").splitlines()
+    for word in reversed(words):
+        for number, line in enumerate(lines, 1):
+            if f'"{word}"' in line:
+                return number
+    return 0
+
+
+def catalogue() -> str:
+    """The events as Markdown."""
+    rows = [
+        f"| {event.value} | {logging.getLevelName(level)} | {text} | {why} |"
+        for event, (level, text, why) in TEXTS.items()
+    ]
+    head = (
+        "# Events\n\nMade by `huts events`. Each line of a log is `LEVEL NUMBER text what it concerns`.\n\n"
+    )
+    return (
+        head
+        + "| number | level | text | what it says |\n| --- | --- | --- | --- |\n"
+        + "\n".join(rows)
+        + "\n"
+    )
--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -1,6 +1,91 @@
-"""Commands."""
+"""`huts`: check files, try the system on one machine, look into a disk, play weather."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from huts.guide import checks, disk, trying, weather
+
+
+@cappa.command(name="check", help="Check a settings file (.toml) or an operator's configuration (.json).")
+@dataclass
+class Check:
+    """All that is wrong goes to standard error, a line each; exit code 2."""
+
+    files: Annotated[list[Path], cappa.Arg(help="files to check", num_args=-1)] = field(default_factory=list)
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=checks.check(self.files))
+
+
+@cappa.command(name="events", help="The catalogue of the events that processes log.")
+@dataclass
+class Events:
+    """As Markdown."""
+
+    def __call__(self) -> None:
+        print(checks.catalogue(), end="")
+
+
+@cappa.command(name="state", help="What a machine's disk holds; the process must not run.")
+@dataclass
+class StateOf:
+    """Counts, versions and what is damaged."""
+
+    folder: Annotated[Path, cappa.Arg(help="the data folder of the process")]
+    verify: Annotated[bool, cappa.Arg(long=True, help="read every record; exit code 1 if one is damaged")] = (
+        False
+    )
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=disk.show(self.folder, self.verify))
+
+
+@cappa.command(name="try", help="Start the whole system on loopback addresses, with targets and clients.")
+@dataclass
+class Try:
+    """Prints what was served, second by second, and what became of it."""
+
+    seconds: Annotated[float, cappa.Arg(long=True, help="how long clients hand messages in")] = 10.0
+    per_s: Annotated[float, cappa.Arg(long="--per-s", help="messages a second")] = 40.0
+    kill: Annotated[bool, cappa.Arg(long=True, help="kill a store half-way")] = False
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=trying.run(self.seconds, self.per_s, self.kill))
+
+
+@cappa.command(name="weather", help="Play drawn days of simulated clusters, and hold them to the rules.")
+@dataclass
+class Weather:
+    """Exit code 1 if a rule was broken; the seed plays the same day again."""
+
+    seed: Annotated[int, cappa.Arg(long=True, help="the first seed")] = 1
+    days: Annotated[int, cappa.Arg(long=True, help="how many")] = 1
+    jobs: Annotated[int, cappa.Arg(long=True, help="processes")] = 1
+    log: Annotated[bool, cappa.Arg(long=True, help="print what the processes log")] = False
+    strange: Annotated[bool, cappa.Arg(long=True, help="more losses than the settings allow")] = False
+    shrink: Annotated[bool, cappa.Arg(long=True, help="leave out faults as long as a rule still breaks")] = (
+        False
+    )
+
+    def __call__(self) -> None:
+        raise cappa.Exit(
+            code=weather.run(self.seed, self.days, self.jobs, self.log, self.strange, self.shrink)
+        )
+
+
+@cappa.command(name="huts", help="A whole ingest and dispatch service.")
+@dataclass
+class Huts:
+    """The commands."""
+
+    command: cappa.Subcommands[Check | Events | StateOf | Try | Weather]
 
 
 def main() -> None:
-    """Nothing yet."""
-    raise SystemExit("usage: EMBERLATCH_BOOT=FILE python -m huts")
+    """Parse and run."""
+    cappa.invoke(Huts)
--- /dev/null
+++ b/huts/guide/trying.py
@@ -0,0 +1,189 @@
+"""The whole system on one machine: three stores and two forwarders as processes on loopback addresses, with
+targets and clients beside them in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from emberlatch.faults.loop import Process
+from emberlatch.net.http import BrokenError
+from huts.weather.actors import Clients, Operator, ask
+from huts.weather.history import History
+from huts.weather.mountain import Mountain, Plan
+
+CONTROL, FRONT, READY, INNER = range(4)
+
+
+def _ports(count: int) -> list[int]:
+    """Ports that are free just now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Yard(Mountain):
+    """Stands in for the simulated world on real loopback addresses."""
+
+    def __init__(self, per_s: float, seconds: float) -> None:
+        self.plan = Plan(random.randrange(1 << 30), per_s=per_s, seconds=seconds)
+        self.random, self.history, self.count = random.Random(), History(), 0
+        self.beat_s, self.drain_s, self.early_s = 1.2, 3.0, 0.1
+        self.folder = Path(tempfile.mkdtemp(prefix="huts-try-"))
+        self.ports = _ports(4)
+        self.hosts = {f"store-{n}": f"127.0.1.{n + 1}" for n in range(3)}
+        self.hosts |= {f"front-{n}": f"127.0.2.{n + 1}" for n in range(2)}
+        self.services = ["ledger", "desk"]
+        self.places = [("ledger", "a.example", "/l/"), ("desk", "a.example", "/d/")]
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.targets = {}
+        self._zones: dict[str, str] = {}
+
+    def controls(self) -> list[tuple[str, int]]:
+        found = [(host, self.ports[CONTROL]) for name, host in self.hosts.items() if name.startswith("store")]
+        self.random.shuffle(found)
+        return found
+
+    def front(self, zone: str, chance: random.Random) -> tuple[str, int] | None:
+        return self.hosts[f"front-{chance.randrange(2)}"], self.ports[FRONT]
+
+    def run_in(self, process: Process, work: Any) -> asyncio.Task[Any]:
+        return asyncio.get_running_loop().create_task(work)
+
+    def start(self, name: str, first: bool) -> None:
+        """Start a role as a process of its own."""
+        store, host = name.startswith("store"), self.hosts[name]
+        seeds = ",".join(
+            f'"{h}:{self.ports[CONTROL]}"' for n, h in self.hosts.items() if n.startswith("store")
+        )
+        lines = [
+            f'node = "{name}"', f'ip = "{host}"', 'zone = "here"', 'region = "here"',
+            f"seeds = [{seeds}]",
+            f"port_range = [{self.ports[INNER]}, {self.ports[INNER]}]",
+            f"initial_start = {str(first).lower()}",
+            "serves = " + ('["store", "control"]' if store else '["front"]'), f"counted = {str(store).lower()}",
+        ]  # fmt: skip
+        if store:
+            lines += [
+                f'data_dir = "{self.folder / name}"',
+                "[listen]",
+                f'control = "{host}:{self.ports[CONTROL]}"',
+            ]
+        else:
+            lines += [
+                "[listen]",
+                f'front = "{host}:{self.ports[FRONT]}"',
+                f'ready = "{host}:{self.ports[READY]}"',
+            ]
+        settings = self.folder / f"{name}.toml"
+        settings.write_text("\n".join([*lines, "[limits]", "memory_mb = 300", "max_fds = 1000"]) + "\n")
+        with (self.folder / f"{name}.log").open("ab") as out:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", "huts"],
+                env=os.environ | {"EMBERLATCH_BOOT": str(settings)},
+                stderr=out,
+                stdout=out,
+            )
+
+    async def ready(self) -> bool:
+        """Whether all forwarders say that they are."""
+        for _ in range(200):
+            try:
+                answers = [
+                    (
+                        await ask(
+                            (self.hosts[f"front-{n}"], self.ports[READY]),
+                            "GET",
+                            "/api/readiness",
+                            b"",
+                            {},
+                            1.0,
+                        )
+                    ).status
+                    for n in range(2)
+                ]
+                if answers == [200, 200]:
+                    return True
+            except (OSError, BrokenError, TimeoutError):
+                pass
+            await asyncio.sleep(0.05)
+        return False
+
+    async def state(self, id: str) -> str:
+        """What a forwarder says of a message."""
+        try:
+            answer = await ask(
+                (self.hosts["front-0"], self.ports[FRONT]),
+                "GET",
+                f"/api/message/{id}",
+                b"",
+                {"Host": "a"},
+                2.0,
+            )
+        except (OSError, BrokenError, TimeoutError):
+            return "unknown"
+        return bytes(answer.body).decode().split('"')[3] if answer.status == 200 else "unknown"
+
+    def end(self) -> None:
+        """End what was started, by its id."""
+        for process in self.running.values():
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+async def _run(yard: Yard, kill: bool) -> int:
+    for name in yard.hosts:
+        yard.start(name, True)
+    for n in range(4):
+        await yard.add_target(yard.services[n % 2], "here", ("127.0.3.1", _ports(1)[0]))
+    if not await Operator(yard).send(3) or not await yard.ready():
+        print("the system did not become ready", file=sys.stderr)
+        return 1
+    await asyncio.sleep(1.5)  # until each target has announced itself
+    handing = asyncio.create_task(Clients(yard, "here", yard.plan.per_s).run(yard.plan.seconds))
+    began, told = asyncio.get_running_loop().time(), 0
+    while not handing.done():
+        await asyncio.sleep(1.0)
+        told += 1
+        if kill and told == max(1, int(yard.plan.seconds / 2)):
+            yard.history.faults.append(asyncio.get_running_loop().time() - 0.1)
+            yard.running["store-0"].send_signal(signal.SIGKILL)
+            yard.running["store-0"].wait()
+            yard.start("store-0", False)
+            print("store-0 was killed, and is started again")
+        answers = Counter(s.answer for s in yard.history.sent.values() if s.at >= began + told - 1)
+        runs = sum(r.at >= began + told - 1 for of in yard.history.runs.values() for r in of)
+        print(f"second {told:3d}: answers {dict(answers)}, runs {runs}")
+    await handing
+    await asyncio.sleep(3.0)
+    accepted = [s.id for s in yard.history.sent.values() if s.answer == 202]
+    states = Counter([await yard.state(id) for id in accepted])
+    again = sum(len([r for r in runs if r.status == 200]) > 1 for runs in yard.history.runs.values())
+    print(f"accepted {len(accepted)}: {dict(states)}; run again after a success: {again}")
+    for breach in yard.history.breaches:
+        print(f"broken: {breach.rule}: {breach.text}")
+    return 1 if yard.history.breaches or states["unknown"] else 0
+
+
+def run(seconds: float, per_s: float, kill: bool) -> int:
+    """Try it; 1 if something was lost or a rule broken."""
+    logging.basicConfig(level=logging.ERROR)
+    yard = Yard(per_s, seconds)
+    try:
+        return asyncio.run(_run(yard, kill))
+    finally:
+        yard.end()
