--- a/huts/guide/trying.py
+++ b/huts/guide/trying.py
@@ -74,7 +74,8 @@
             f"seeds = [{seeds}]",
             f"port_range = [{self.ports[INNER]}, {self.ports[INNER]}]",
             f"initial_start = {str(first).lower()}",
-            "serves = " + ('["store", "control"]' if store else '["front"]'), f"counted = {str(store).lower()}",
+            "serves = " + ('["store", "control"]' if store else '["front"]'),
+            f"counted = {str(store).lower()}",
         ]  # fmt: skip
         if store:
             lines += [
--- a/huts/weather/mountain.py
+++ b/huts/weather/mountain.py
@@ -188,9 +188,7 @@
         self.loop = VirtualLoop()
         self.random = random.Random(plan.seed)
         random.seed(plan.seed)
-        self.folder = Path(
-            tempfile.mkdtemp(prefix="huts-", dir="/dev/shm" if Path("/dev/shm").is_dir() else None)
-        )
+        self.folder = Path(tempfile.mkdtemp(prefix="huts-"))
         self._zones: dict[str, str] = {}
         self.network = Net(self.loop, plan.seed, lambda host: self._zones.get(host, ""))
         self.history = History()
