Stores that freeze, are cut off, replaced, added or retired: copies elsewhere, epochs, stalls, marks

Cause of what was lost on the control sites: a message whose other copy stood on a machine that never came back had one; the stores that were gone still counted among those that must agree; a start waited for them. Ruled out: more copies for all (a crossing each).

--- a/emberlatch/net/calls.py
+++ b/emberlatch/net/calls.py
@@ -178,6 +178,10 @@
     async def _concluded(self, target: Endpoint, call: Call, response: Response) -> None:
         """Settle each message by the answer. What it raises leaves those that are not settled in doubt."""
 
+    def _ours(self, call: Call) -> Callable[[Response], bool] | None:
+        """What tells an answer to this call from one to an earlier call; None where answers do not say."""
+        return None
+
     async def _prepare(self, target: Endpoint, call: Call) -> None:  # noqa: B027
         """What takes time ahead of a connection. OSError says that the call can't go out: it never ran."""
 
@@ -232,7 +236,7 @@
             call.settle_all(Result.MOOT)
             return None
         call.items = list(call.pending)
-        answer = connection.exchange(self._request(target, call))
+        answer = connection.exchange(self._request(target, call), self._ours(call))
         call.connection = connection
         at_once = connection.written
         self._tally.count("dispatches", by=len(call.items) * at_once)
--- a/emberlatch/net/http.py
+++ b/emberlatch/net/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, cast
 
@@ -73,9 +74,16 @@
         self.written = True
         self.closed = False
         self.idle_since = 0.0
+        self._ours: Callable[[Response], bool] | None = None
 
-    def exchange(self, request: bytes) -> asyncio.Future[Response]:
-        """Send a request; the future brings a Response or a BrokenError."""
+    def exchange(
+        self, request: bytes, ours: Callable[[Response], bool] | None = None
+    ) -> asyncio.Future[Response]:
+        """Send a request; the future brings a Response or a BrokenError.
+
+        `ours` tells an answer to this request from one to an earlier request that comes late or twice.
+        """
+        self._ours = ours
         # Nothing of the answer before this one may speak for it: its 200 would make a broken call a
         # delivery. So each exchange has its own parser too.
         self._parser, self._response = httptools.HttpResponseParser(self), Response()
@@ -173,7 +181,7 @@
     def on_message_begin(self) -> None:
         if self._answer is None:  # a whole answer was there already: this belongs to nothing
             raise SpoiltError
-        self._begun, self._response = True, Response()
+        self._begun, self._head_done, self._response = True, False, Response()
 
     def on_status(self, status: bytes) -> None:
         self._response.status = self._parser.get_status_code()
@@ -195,6 +203,8 @@
     def on_message_complete(self) -> None:
         if self._response.status < 200:
             return self._ended()  # an answer ahead of the real one, which may be long in coming
+        if self._ours is not None and not self._ours(self._response):
+            return self._ended()  # the one that is waited for may still come
         if not self._parser.should_keep_alive():
             self.close()
         self._succeed()
--- a/huts/cairn/cairn.py
+++ b/huts/cairn/cairn.py
@@ -70,18 +70,22 @@
                 pass
 
     def _hold(self, config: Configuration) -> None:
-        """The one place in which the held version changes: it only grows."""
-        if config.revision > self.newest:
+        """The one place in which the held version changes: it only grows.
+
+        Two operators may send two texts under one version to two machines: of these the one with the higher
+        digest stays, everywhere.
+        """
+        if _rank(config) > _rank(self.held):
             self.held = config
-            self._have[self._me] = config.revision, digest(config.raw)
+            self._have[self._me] = _rank(config)
             self._settle()
 
     def _settle(self) -> None:
         """The one place in which the version in force changes: what enough disks have."""
         held = self.held
-        if held is None or held.revision <= self.revision:
+        if held is None or _rank(held) <= _rank(self.force):
             return
-        have = [node for node, (revision, _) in self._have.items() if revision >= held.revision]
+        have = [node for node, has in self._have.items() if has == _rank(held) or has[0] > held.revision]
         if self._files is None or self._enough(have):
             self.force = held
             say(Event.CONFIG_TAKEN, f"revision={held.revision}")
@@ -92,10 +96,11 @@
     def heard(self, node: str, version: Any) -> bool:
         """A store says which version is on its disk; whether ours is older."""
         if isinstance(version, list | tuple) and len(version) == 2 and isinstance(version[0], int):
-            if self._have.get(node, (-1, ""))[0] <= version[0]:
-                self._have[node] = version[0], str(version[1])
+            told = version[0], str(version[1])
+            if self._have.get(node, (-1, "")) <= told:
+                self._have[node] = told
                 self._settle()
-            return version[0] > self.newest
+            return told > _rank(self.held)
         return False
 
     def forget(self, node: str) -> None:
@@ -106,8 +111,11 @@
         """Which version is on our disk."""
         return list(self._have.get(self._me, (-1, "")))
 
-    async def keep(self, raw: bytes) -> Result[Configuration, str]:
-        """Check a version, and put it on our disk if it is newer; it, or what is wrong with it."""
+    async def keep(self, raw: bytes, ours: bool = False) -> Result[Configuration, str]:
+        """Check a version, and put it on our disk if it is newer; it, or what is wrong with it.
+
+        `ours` comes from another machine; an operator's must be above what is held.
+        """
         read = read_configuration(raw)
         match read:
             case Result(tag="ok", ok=config):
@@ -115,13 +123,12 @@
             case _:
                 return read
         async with self._writing:
-            if config.revision > self.newest:
+            newer = _rank(config) > _rank(self.held) if ours else config.revision > self.newest
+            if newer:
                 if self._files is not None:
                     files = self._files
                     await self._offload(lambda: files.write(config.revision, raw))
                 self._hold(config)
-            elif self.held is not None and config.revision == self.newest and config.raw != self.held.raw:
-                return Error(f"revision {config.revision} is another text already")
         return Ok(config)
 
     async def take(self, raw: bytes) -> Result[int, Fault]:
@@ -150,34 +157,34 @@
 
     async def _spread(self, peer: Peer) -> None:
         held = self.held
-        if held is None or self._have.get(peer.name, (-1, ""))[0] >= held.revision:
+        if held is None or self._have.get(peer.name, (-1, "")) >= _rank(held):
             return
         with contextlib.suppress(Lost):  # it is told again when the link is up
             self.heard(peer.name, await peer.ask("word", held.raw, SPREAD))
 
     async def taken(self, raw: bytes) -> list[Any]:
         """Another process sends a version; which one is on our disk now."""
-        await self.keep(raw)
+        await self.keep(raw, ours=True)
         return self.told()
 
     def meet(self, peer: Peer, version: Any, stands: Any) -> None:
         """A peer said which version it holds, and which is in force there: who has the older one takes the
         other's."""
-        mine = self.newest
+        mine = _rank(self.held)
         older = self.heard(peer.name, version) if self._files is not None else False
         if self._files is None:
-            older = isinstance(stands, int) and stands > mine
+            older = isinstance(stands, int) and stands > mine[0]
         if older and not self._fetching:
             self._fetching = True
             self._tasks.spawn(self._fetch(peer))
-        elif self._files is not None and version and version[0] < mine:
+        elif self._files is not None and version and (version[0], str(version[1])) < mine:
             self._tasks.spawn(self._spread(peer))
 
     async def _fetch(self, peer: Peer) -> None:
         try:
             raw = await peer.ask("tell word", None, 1.0)
             if isinstance(raw, bytes):
-                await self.keep(raw)
+                await self.keep(raw, ours=True)
         except Lost:
             pass
         finally:
@@ -185,3 +192,8 @@
         if self._files is not None:
             for other in self._others():
                 other.tell("beat", None)
+
+
+def _rank(config: Configuration | None) -> tuple[int, str]:
+    """What is compared of two versions."""
+    return (-1, "") if config is None else (config.revision, digest(config.raw))
--- a/huts/descent/carrier.py
+++ b/huts/descent/carrier.py
@@ -81,11 +81,7 @@
     async def _concluded(self, target: Endpoint, call: Call, response: Response) -> None:
         ref, headers = call.items[0].ref, response.headers
         seal = headers.get("emberlatch-server-seal", "")
-        told = headers.get("emberlatch-attempt-id")
         verdict = _verdict(response.status, seal, "emberlatch-not-executed" in headers)
-        if told is not None and told != self._parcel(ref, call.target).record.id:
-            verdict = Verdict.UNKNOWN  # it answers another request, and the connection is out of step
-            target.idle[:] = [c for c in target.idle if not self._drop(c)]
         hold = seconds(headers.get("retry-after")) if verdict is Verdict.FULL else 0.0
         if verdict is Verdict.UNKNOWN:
             say(Event.ANSWER_ODD, call.target.decode(), f"status={response.status}")
@@ -95,12 +91,9 @@
             result = Result.TIMEOUT
         call.settle_all(result, closed, hold)
 
-    def _drop(self, connection: object) -> bool:
-        known = next((c for c in self._used if c is connection), None)
-        if known is not None:
-            del self._used[known]
-            known.close()
-        return True
+    def _ours(self, call: Call) -> Callable[[Response], bool] | None:
+        id = call.items[0].id
+        return lambda response: response.headers.get("emberlatch-attempt-id", id) == id
 
 
 def _verdict(status: int, seal: str, not_run: bool) -> Verdict:
--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -465,15 +465,19 @@
 
     # The end.
 
+    def idle(self) -> list[Record]:
+        """All that no call is out of; they are ours to deliver no more."""
+        idle = [load for load in self._loads.values() if load.stage is not Stage.OUT]
+        for load in idle:
+            self._forget(load)
+        return [load.record for load in idle]
+
     async def close(self, hand_over: Callable[[list[Record]], Any], until: float) -> None:
         """Send nothing new; give what waits to others, and what is out once it is back without an end."""
         self.closing = True
         while self._loads:
-            idle = [load for load in self._loads.values() if load.stage is not Stage.OUT]
-            for load in idle:
-                self._forget(load)
-            if idle:
-                await hand_over([load.record for load in idle])
+            if records := self.idle():
+                await hand_over(records)
             if self._loop.time() > until - STOPPING:
                 break
             await asyncio.sleep(0.02)
--- a/huts/events.py
+++ b/huts/events.py
@@ -25,6 +25,7 @@
     PEER_DEAD = 203
     PEER_RUBBISH = 204
     MEMBER_NEW = 205
+    MEMBER_LEFT = 206
     CONFIG_TAKEN = 301
     CONFIG_REFUSED = 302
     CONFIG_STANDS = 303
@@ -40,6 +41,10 @@
     TAKEN_OVER = 505
     HANDED_OVER = 506
     DISK_FULL = 507
+    STOOD_STILL = 508
+    COPIED = 509
+    RETIRE_MARKED = 510
+    RETIRE_DONE = 511
     ENDED_DEAD = 601
     ANSWER_ODD = 602
     MODULE_NOTE = 603
@@ -72,6 +77,11 @@
         "What came was no frame; that connection ended.",
     ),
     Event.MEMBER_NEW: (logging.INFO, "new member", "A process was heard of for the first time."),
+    Event.MEMBER_LEFT: (
+        logging.WARNING,
+        "member counts no more",
+        "A store was silent for long; the others go on without.",
+    ),
     Event.CONFIG_TAKEN: (logging.INFO, "configuration taken", "A version is in force in this process."),
     Event.CONFIG_REFUSED: (
         logging.WARNING,
@@ -115,6 +125,18 @@
         "disk nearly full",
         "New messages are turned away until some have ended.",
     ),
+    Event.STOOD_STILL: (
+        logging.WARNING,
+        "stood still",
+        "This process did not run; it compares before it delivers.",
+    ),
+    Event.COPIED: (
+        logging.INFO,
+        "copied again",
+        "Messages whose copies were on machines that are gone have others.",
+    ),
+    Event.RETIRE_MARKED: (logging.INFO, "retiring", "The operator wants this machine emptied."),
+    Event.RETIRE_DONE: (logging.INFO, "retired", "Nothing that counts stands on this machine alone."),
     Event.ENDED_DEAD: (logging.INFO, "dead letter", "A message can't be delivered; its status tells so."),
     Event.ANSWER_ODD: (logging.WARNING, "odd answer", "A target answered what the protocol does not know."),
     Event.MODULE_NOTE: (logging.INFO, "delivery", "What the decision module has to say."),
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -16,10 +16,9 @@
 from huts.descent import Descent
 from huts.events import Event, say
 from huts.lookout import Target, Targets
-from huts.refuge import Keeper, Ledger, Record, Shelf, State
-from huts.refuge.keeper import Phase
+from huts.refuge import Keeper, Ledger, Phase, Record, Shelf, State, Stock
 from huts.register import Member, Roster
-from huts.retire import NoRetirement
+from huts.retire import Retirements
 from huts.rope import Peer, PeerState, RopeServer, Strand
 from huts.trailhead import Desk, Front, Gate, Ready
 from huts.trailhead import desk as desks
@@ -29,7 +28,8 @@
 TAKE_STILL = (
     2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
 )
-LEASE = 6.0  # seconds for which a member counts after its last word
+LEFT = 6.0  # seconds of silence after which a store counts no more among those that must agree
+FORGOTTEN = 120.0  # seconds after which it is dialled no more
 
 
 class Hut:
@@ -55,6 +55,8 @@
         self._peers: dict[tuple[str, int], Peer] = {}
         self._phases: dict[str, str] = {}
         self.stopping = False
+        self._left: set[str] = set()
+        self.retire = Retirements(boot.node, self.tasks, self)
         files = WordFiles(boot.data_dir / "word") if boot.stores and boot.data_dir else None
         self.cairn = Cairn(boot.node, files, offload, self.tasks, self.enough, self.other_stores)
         self.cairn.in_force = self._in_force
@@ -69,7 +71,9 @@
 
     def enough(self, nodes: Iterable[str]) -> bool:
         """Whether what these machines' disks have bears the losses that the settings name."""
-        members = [m for n in set(nodes) if (m := self.roster.members.get(n)) is not None and m.store]
+        known = self.roster.members
+        counted = (n for n in set(nodes) if not self.retire.marked(n))
+        members = [m for n in counted if (m := known.get(n)) is not None and m.store]
         want = self.boot.resilience
         return (
             len(members) > want.machines
@@ -86,17 +90,43 @@
                 found[member.node] = peer
         return found
 
+    def current(self) -> dict[str, Peer]:
+        """Those of them that count: not retired, nor silent for long while most of the others were there."""
+        return {n: p for n, p in self.stores().items() if n not in self._left and not self.retire.done(n)}
+
+    def _count_out(self, now: float) -> None:
+        """A store that is silent for long counts no more, as long as most of the rest hear each other: who is
+        cut off itself never counts anybody out."""
+        if self.keeper is None:
+            return
+        for name, peer in self.stores().items():
+            silent = now - max(peer.last_up, peer.began)
+            if peer.up:
+                self._left.discard(name)
+            elif name not in self._left and silent > LEFT and self.keeper.holding.in_touch():
+                self._left.add(name)
+                say(Event.MEMBER_LEFT, name)
+            elif name in self._left and silent > FORGOTTEN:
+                self._left.discard(name)
+                self.roster.remove(name)
+                self._dial()
+
+    def able_stores(self) -> list[Peer]:
+        """Those that take messages and copies."""
+        return [p for n, p in self.current().items() if p.up and self.serving(n)]
+
     def other_stores(self) -> list[Peer]:
         """Those of them that can be asked."""
         return [peer for peer in self.stores().values() if peer.up]
 
     def near_stores(self) -> list[Peer]:
         """The stores that take messages, those of our zone first."""
-        able = [p for n, p in self.stores().items() if p.up and self.serving(n)]
+        able = self.able_stores()
         members = self.roster.members
         mine = (self.boot.zone, self.boot.region)
         return sorted(
-            able, key=lambda p: (members[p.name].zone != mine[0], members[p.name].region != mine[1])
+            able,
+            key=lambda p: (p.lagging, members[p.name].zone != mine[0], members[p.name].region != mine[1]),
         )
 
     def serving(self, node: str) -> bool:
@@ -137,8 +167,8 @@
         if news:
             self._dial()
             if self.keeper is not None:
-                self.keeper.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
-                self.keeper.ledger.settle()
+                self.keeper.stock.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
+                self.keeper.stock.ledger.settle()
             for other in self._peers.values():
                 other.tell("members", self.hello())
 
@@ -152,7 +182,8 @@
 
     def beat(self) -> dict[str, Any]:
         phase = self.keeper.phase.value if self.keeper is not None else None
-        return {"phase": phase, "word": self.cairn.told(), "stands": self.cairn.revision}
+        told = {"phase": phase, "word": self.cairn.told(), "stands": self.cairn.revision}
+        return told | ({"retire": self.retire.told()} if self.retire.marks else {})
 
     def greeted(self, peer: Peer, told: Any) -> None:
         self._members(told, peer)
@@ -165,6 +196,7 @@
         self._beat_of(peer, told)
 
     def _beat_of(self, peer: Peer, told: Any) -> None:
+        self.retire.heard(told.get("retire") or {})
         if told["phase"] is not None:
             self._phases[peer.name] = told["phase"]
             self.cairn.meet(peer, told["word"], told["stands"])
@@ -222,17 +254,19 @@
             case "body":
                 return keeper.body_of(payload)
             case "own":
-                return keeper.own(payload)
+                return keeper.holding.own(payload)
             case "ranges":
-                return keeper.ranges(strand.name, payload)
+                return keeper.repair.ranges(strand.name, payload)
             case "records":
-                return keeper.records(payload)
+                return keeper.repair.records(payload)
             case "mend":
-                return keeper.mended(payload)
+                return keeper.repair.take(payload)
             case "word":
                 return self.cairn.taken(payload)
             case "version":
                 return self.cairn.told()
+            case "retire":
+                return self.retire.kept(payload)
             case "target":
                 assert self.targets is not None
                 self.targets.heard(payload, asyncio.get_running_loop().time())
@@ -275,7 +309,7 @@
                 self.other_stores,
                 self._needed,
                 self._whole,
-                NoRetirement(),
+                self.retire,
             )
         if "control" in boot.listen:
             self.desk = Gate(boot.listen["control"], Desk(self._clerk).handle, most, self.tasks, self.machine)
@@ -292,28 +326,33 @@
         shelf = Shelf(boot.node)
         ledger = Ledger(boot.data_dir / "records.db", self._offload, self.machine.wall, self._failed)
         limits = boot.memory_mb * 1e6, boot.disk_mb * 1e6
+        stock = Stock(boot.node, shelf, ledger)
         keeper = self.keeper = Keeper(
-            boot.node, shelf, ledger, self.tasks, self.enough, self.stores, self.serving, limits,
+            stock, self.tasks, self.enough, self.current, self.stores, self.able_stores, limits,
             boot.bounds.status_keep_s,
         )  # fmt: skip
+        keeper.repair.leaving = lambda: set(self.retire.marks)
+        self.retire.load(ledger.noted("retire"))
         keeper.phase_changed = lambda _: self._tell_beat()
         for told in ledger.noted(ROSTER) or []:
             self.roster.add(Member.read(told | {"life": 0}))
         self.targets = Targets(boot.heartbeat_ms / 1000, self._target_changed)
         self.descent = Descent(
-            boot.zone, self.tasks, self._seed, self._finished, self._wrong, keeper.in_touch, self._parts,
-            boot.bounds.origin_window_s, max(64, (boot.max_fds - 300) // 4),
+            boot.zone, self.tasks, self._seed, self._finished, self._wrong, keeper.holding.in_touch,
+            self._parts, boot.bounds.origin_window_s, max(64, (boot.max_fds - 300) // 4),
         )  # fmt: skip
-        keeper.deliverer = self.descent
+        stock.deliverer = self.descent
 
     async def _store_life(self, keeper: Keeper) -> None:
         await keeper.start(self.boot.initial_start)
         self.tasks.spawn(keeper.tend())
+        self.retire.resume()
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(0.25)
             assert self.targets is not None and self.descent is not None
             self.targets.tick(loop.time())
+            self._count_out(loop.time())
             self.descent.poke()
 
     def _target_changed(self, target: Target) -> None:
@@ -330,11 +369,11 @@
 
     def _parts(self) -> int:
         """By how many a limit is shared: all that deliver, for the dead may have sent just now."""
-        return max(1, len(self.roster.stores()))
+        return max(1, 1 + len(self.stores()))
 
     def _needed(self) -> int:
         """Of how many others it has to be heard which configuration they have."""
-        return max(0, len(self.stores()) - self.boot.resilience.machines)
+        return max(0, len(self.current()) - self.boot.resilience.machines)
 
     def _whole(self) -> bool:
         assert self.keeper is not None
@@ -379,7 +418,7 @@
             if self.desk is not None:
                 self.desk.close_listener()
                 self.desk.drain(True)
-            await self.descent.close(self.keeper.hand_over, until)
+            await self.descent.close(self.keeper.holding.hand_over, until)
             while loop.time() < until - 1.0 and (
                 self.keeper.busy or (self.desk is not None and self.desk.busy)
             ):
@@ -393,7 +432,7 @@
             peer.close()
         await asyncio.sleep(0.02)
         if self.keeper is not None:
-            self.keeper.ledger.close()
+            self.keeper.stock.ledger.close()
         say(Event.STOPPED, self.boot.node)
         self.tasks.cancel()
 
--- /dev/null
+++ b/huts/refuge/holding.py
@@ -0,0 +1,126 @@
+"""Who holds a message: one process at a time, and another once that one has surely stopped."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from huts.events import Event, say
+from huts.refuge.record import Record
+from huts.refuge.repair import Repair, parts
+from huts.refuge.stock import Stock
+from huts.rope import Lost, Peer, PeerState
+
+LEASE = 2.4  # seconds of silence after which a holder has surely stopped (it stops after `Peer`'s SILENT)
+DEAD = 0.25  # seconds for which a port has refused: its process has ended
+STALL = 0.7  # seconds for which this process stood still: others may have taken over since
+HAND = 1.0  # seconds for another store to take what is handed to it
+
+
+class Holding:
+    """`stores` are the other stores by node, as far as they count; `able` those that take copies."""
+
+    def __init__(
+        self,
+        stock: Stock,
+        repair: Repair,
+        stores: Callable[[], dict[str, Peer]],
+        able: Callable[[], list[Peer]],
+    ) -> None:
+        self._stock, self._repair, self._stores, self._able = stock, repair, stores, able
+        self._ticked = asyncio.get_running_loop().time()
+        self._stalled = -1e9  # when this process last stood still
+
+    # Whether we may deliver.
+
+    def in_touch(self) -> bool:
+        """Whether nobody can have taken over what we hold: most of the stores hear us, or are surely dead."""
+        others = self._stores().values()
+        there = sum(peer.up or peer.state is PeerState.REFUSED for peer in others)
+        return 2 * (1 + there) > 1 + len(others) and not self._doubtful()
+
+    def _doubtful(self) -> bool:
+        """Whether this process stood still, and has not compared with those that are up since."""
+        if asyncio.get_running_loop().time() - self._ticked > STALL:
+            return True
+        mended = self._repair.mended
+        return any(p.up and mended.get(n, -1e9) < self._stalled for n, p in self._stores().items())
+
+    def tick(self, now: float) -> None:
+        """Called all the time: a gap says that this process stood still."""
+        if now - self._ticked > STALL:
+            self._stalled = now
+            self._repair.mended.clear()
+            say(Event.STOOD_STILL, f"seconds={now - self._ticked:.2f}")
+        self._ticked = now
+
+    # Giving.
+
+    async def hand_over(self, records: list[Record]) -> None:
+        """These are to be delivered by others from now on."""
+        by_heir: dict[str, list[Record]] = {}
+        able = [peer.name for peer in self._able()]
+        for at, record in enumerate(records):
+            if able and record.open and record.holder == self._stock.me:
+                heir = next((n for n in able if n in record.keepers), able[at % len(able)])
+                by_heir.setdefault(heir, []).append(record)
+        for heir, theirs in by_heir.items():
+            for part in parts(theirs, 500):
+                await self._hand(self._stores()[heir], part)
+        if by_heir:
+            say(Event.HANDED_OVER, *(f"{heir}={len(theirs)}" for heir, theirs in by_heir.items()))
+
+    async def _hand(self, peer: Peer, records: list[Record]) -> None:
+        try:
+            missing = [r for r in records if peer.name not in r.keepers]
+            for record in missing:
+                self._stock.kept_by(record, [*record.keepers, peer.name])
+            await self._repair.give(peer, missing)
+            words = [[r.id, r.epoch + 1, r.attempts] for r in records]
+            lacking = set(await peer.ask("own", words, HAND))
+            for record in records:
+                if record.id not in lacking:
+                    self._stock.merge(
+                        record, record.state, record.seal, record.epoch + 1, peer.name, record.attempts
+                    )
+        except Lost:
+            pass  # they stay ours: our next life, or who takes over, delivers them
+
+    def own(self, words: list[list[object]]) -> list[object]:
+        """A holder that leaves makes us the holder; which of them we do not have."""
+        missing = []
+        for id, epoch, attempts in words:
+            record = self._stock.shelf.records.get(str(id))
+            if record is None:
+                missing.append(id)
+            elif isinstance(epoch, int) and isinstance(attempts, int):
+                self._stock.merge(record, record.state, record.seal, epoch, self._stock.me, attempts)
+        return missing
+
+    # Taking.
+
+    def _dead(self, peer: Peer, now: float) -> bool:
+        if peer.state is PeerState.REFUSED:
+            return now - peer.since > DEAD
+        silent = peer.state is PeerState.SILENT or not peer.up
+        return silent and now - max(peer.last_up, peer.began) > LEASE and self.in_touch()
+
+    def take_over(self, now: float, known: dict[str, Peer]) -> None:
+        """What dead holders held, and we are the first living keeper of, is ours from now on.
+
+        `known` are all stores that were ever heard of: those that count no more are dead too.
+        """
+        stores = self._stores()
+        dead = {name for name, peer in known.items() if self._dead(peer, now)}
+        if not dead or not self._stock.delivers:
+            return
+        count = 0
+        for record in list(self._stock.shelf.records.values()):
+            if not record.open or record.holder not in dead:
+                continue
+            living = (n for n in record.keepers if n == self._stock.me or (n in stores and stores[n].up))
+            if next(living, None) == self._stock.me:
+                count += 1
+                self._stock.merge(record, record.state, "", record.epoch + 1, self._stock.me, record.attempts)
+        if count:
+            say(Event.TAKEN_OVER, f"of={','.join(sorted(dead))} messages={count}")
--- a/huts/refuge/ledger.py
+++ b/huts/refuge/ledger.py
@@ -101,11 +101,11 @@
             raise OSError(str(error)) from error
 
     def load(self, now: float) -> list[Record]:
-        """All records; bodies of those that are open."""
+        """All records; bodies of those that have not ended."""
         found, back = [], now - self._wall()
         for id, meta, body in self._db.execute("SELECT id, meta, body FROM records"):
             told = cbor2.loads(meta)
-            told |= {"id": id, "body": body if told["state"] == State.QUEUED else None}
+            told |= {"id": id, "body": body if told["state"] <= State.VOID else None}
             found.append(Record.read(told, back))
         return found
 
--- a/huts/refuge/record.py
+++ b/huts/refuge/record.py
@@ -1,7 +1,8 @@
 """What is kept of a message. It only grows: copies merged in any order, any number of times, are the same.
 
 A copy is newer if it has ended while the other has not, if it is a success while the other is none, or if
-its holder came later (`epoch`). Attempts count only what a target answered with 500.
+its holder came later (`epoch`). A void cancels what was written under its epoch or before, and nothing that
+was taken after it. Attempts count only what a target answered with 500.
 """
 
 from __future__ import annotations
@@ -15,11 +16,19 @@
     """Later ones outweigh earlier ones."""
 
     QUEUED = 0
-    VOID = 1  # never taken: a write whose client was told so, or told nothing
+    VOID = 1  # never taken under this epoch: a write whose client was told so, or told nothing
     DEAD = 2
     DONE = 3
 
 
+Rank = tuple[int, int, int, str]
+
+
+def rank(state: int, epoch: int, holder: str) -> Rank:
+    """What outweighs what: an end, a success above all; then the later epoch; a void one of its own epoch."""
+    return max(0, state - State.VOID), epoch, int(state == State.VOID), holder
+
+
 WORDS = {State.QUEUED: "queued", State.DEAD: "dead_letter", State.DONE: "completed"}
 
 
@@ -57,17 +66,20 @@
 
     def outweighs(self, state: int, epoch: int, holder: str) -> bool:
         """Whether it knows more than a copy of which this is told."""
-        return (self.state, self.epoch, self.holder) > (state, epoch, holder)
+        return self.rank > rank(state, epoch, holder)
+
+    @property
+    def rank(self) -> Rank:
+        """See `rank`."""
+        return rank(self.state, self.epoch, self.holder)
 
     def merge(self, state: State, seal: str, epoch: int, holder: str, attempts: int) -> bool:
         """Take what another copy knows; whether that changed anything that binds."""
-        changed = False
-        if (epoch, holder) > (self.epoch, self.holder):
-            self.epoch, self.holder, changed = epoch, holder, True
-        if state > self.state:
-            self.state, self.seal, changed = state, seal, True
         self.attempts = max(self.attempts, attempts)
-        return changed
+        if rank(state, epoch, holder) <= self.rank:
+            return False
+        self.state, self.epoch, self.holder, self.seal = state, epoch, holder, seal
+        return True
 
     def told(self, now: float, body: bytes | None) -> dict[str, Any]:
         """As it is sent to another process: times as seconds from now."""
--- a/huts/refuge/shelf.py
+++ b/huts/refuge/shelf.py
@@ -10,7 +10,7 @@
 from typing import Any
 from zlib import crc32
 
-from huts.refuge.record import Record, State
+from huts.refuge.record import Record, State, rank
 
 RANGES = 64
 _WRAP = (1 << 64) - 1
@@ -58,6 +58,12 @@
         record.keepers = tuple(keepers)
         self.changed(record)
 
+    def fill(self, record: Record, copy: Record) -> None:
+        """What was a mere note of a message becomes a whole record; what binds of it stays."""
+        for name in ("host", "method", "path", "content", "body", "version", "sent", "due", "end"):
+            setattr(record, name, getattr(copy, name))
+        self.bytes += len(record.body or b"")
+
     def unload(self, record: Record) -> None:
         """Its body is needed in memory no more."""
         self.bytes -= len(record.body or b"")
@@ -96,7 +102,7 @@
         want = []
         for id, (state, epoch, holder) in theirs.items():
             record = self.records.get(id)
-            if record is None or (state, epoch, holder) > (record.state, record.epoch, record.holder):
+            if record is None or rank(state, epoch, holder) > record.rank:
                 want.append(id)
         give = [r for r in ours.values() if r.id not in theirs or r.outweighs(*theirs[r.id])]
         return want, give
--- /dev/null
+++ b/huts/refuge/stock.py
@@ -0,0 +1,117 @@
+"""The records of this process, in memory and on disk, and who delivers what it holds."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from enum import Enum
+from typing import Any, Protocol
+
+from huts.refuge.ledger import Ledger
+from huts.refuge.record import Record, State
+from huts.refuge.shelf import Shelf
+
+
+class Phase(Enum):
+    """What a keeper does."""
+
+    STARTING = "starting"  # compares with the others; takes and delivers nothing
+    SERVING = "serving"
+    RETIRING = "retiring"  # takes nothing, and brings all that it has elsewhere
+    CLOSING = "closing"  # takes nothing, hands over, finishes what is out
+
+
+class Deliverer(Protocol):
+    """Who delivers what this process holds."""
+
+    def deliver(self, record: Record) -> None:
+        """It is ours to deliver from now on."""
+
+    def withdraw(self, record: Record) -> bool:
+        """It is ours no longer, or has ended; false if a call of it is out."""
+
+    def idle(self) -> list[Record]:
+        """All that no call is out of; they are ours to deliver no more."""
+
+
+class Stock:
+    """See the module."""
+
+    def __init__(self, me: str, shelf: Shelf, ledger: Ledger) -> None:
+        self.me, self.shelf, self.ledger = me, shelf, ledger
+        self.deliverer: Deliverer
+        self.phase = Phase.STARTING
+
+    @property
+    def delivers(self) -> bool:
+        """Whether what it holds is delivered here."""
+        return self.phase is Phase.SERVING
+
+    def add(self, record: Record) -> None:
+        """A record that was not there."""
+        self.shelf.put(record)
+        self.ledger.put(record, self._now())
+
+    def merge(self, record: Record, state: int, seal: str, epoch: int, holder: str, attempts: int) -> bool:
+        """Take what another copy knows: in memory, on disk soon, and for who delivers it."""
+        was_mine = record.open and record.holder == self.me
+        if not record.merge(State(state), seal, epoch, holder, attempts):
+            return False
+        record.ended = 0.0 if record.open else record.ended or self._now()
+        mine = record.open and record.holder == self.me
+        if was_mine and not mine:
+            self.deliverer.withdraw(record)
+        if record.state in (State.DONE, State.DEAD):
+            self.shelf.unload(record)
+        self.shelf.changed(record)
+        self.ledger.mark(record, self._now())
+        self.ledger.settle()
+        if mine and not was_mine and self.delivers:
+            self.deliverer.deliver(record)
+        return True
+
+    def absorb(self, told: dict[str, Any]) -> Record | None:
+        """A copy from elsewhere: new here, or merged; None if it is no use."""
+        record = self.shelf.records.get(str(told["id"]))
+        if record is not None:
+            if set(told["keepers"]) - set(record.keepers):
+                self.kept_by(record, [*record.keepers, *map(str, told["keepers"])])
+            if record.body is None and told["body"] is not None and not told["state"] > State.VOID:
+                self.shelf.fill(record, Record.read(told, self._now()))  # a void was all that we had of it
+                self.ledger.put(record, self._now())
+            word = told["state"], told["seal"], told["epoch"], told["holder"], told["attempts"]
+            self.merge(record, *word)
+            return record
+        if told["state"] == State.QUEUED and told["body"] is None:
+            return None
+        record = Record.read(told, self._now())
+        if self.me not in record.keepers:
+            record.keepers = (*record.keepers, self.me)
+        self.add(record)
+        if record.open and record.holder == self.me and self.delivers:
+            self.deliverer.deliver(record)
+        return record
+
+    def kept_by(self, record: Record, keepers: Iterable[str]) -> None:
+        """Others keep it as well."""
+        self.shelf.keep_by(record, dict.fromkeys(keepers))
+        self.ledger.mark(record, self._now())
+        self.ledger.settle()
+
+    def told(self, record: Record) -> dict[str, Any]:
+        """A record as it is sent to another store."""
+        return record.told(self._now(), record.body if record.state in (State.QUEUED, State.VOID) else None)
+
+    def word(self, record: Record) -> list[Any]:
+        """What binds of a record, without its bytes."""
+        return [record.id, int(record.state), record.seal, record.epoch, record.holder, record.attempts]
+
+    def standing(self) -> asyncio.Future[None]:
+        """Done once all that is written by now is on disk."""
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.ledger.stands(lambda: None if done.done() else done.set_result(None))
+        return done
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- a/huts/retire/__init__.py
+++ b/huts/retire/__init__.py
@@ -1,5 +1,5 @@
-"""Retirement of a machine: its work carried to the others."""
+"""Retirement of a machine: its work is carried to the others, and then it is not needed any more."""
 
-from huts.retire.none import NoRetirement
+from huts.retire.retirement import Mark, Retirements
 
-__all__ = ["NoRetirement"]
+__all__ = ["Mark", "Retirements"]
--- a/huts/rope/peer.py
+++ b/huts/rope/peer.py
@@ -13,6 +13,7 @@
 BEAT = 0.4  # seconds between two questions whether the other side is there
 SILENT = 1.3  # seconds without a word after which a link is given up
 CONNECT = 0.6  # seconds for a connection to come up
+LAG = 0.1  # seconds without an answer after which others are preferred
 PAUSES = (0.05, 0.1, 0.2, 0.3)  # seconds before the next dial, by how many failed in a row
 
 
@@ -59,6 +60,7 @@
         self._serve, self._tasks, self._words = serve, tasks, words
         self.state = PeerState.DIALLING
         self.since = asyncio.get_running_loop().time()  # of the present state
+        self.began = self.since
         self.last_up = -1e9  # loop time at which it was last known to be there
         self.strand: Strand | None = None
         self._failed = 0
@@ -83,6 +85,11 @@
             say(Event.PEER_DOWN, self.name, state.value)
         self._words.changed(self)
 
+    @property
+    def lagging(self) -> bool:
+        """Whether it owes an answer for so long that another is better asked."""
+        return self.strand is not None and self.strand.lag() > LAG
+
     async def ask(self, method: str, payload: Any, timeout: float) -> Any:
         """Ask; raises Lost with `sent` if there is no answer in time."""
         if self.strand is None or not self.up:
--- a/huts/rope/strand.py
+++ b/huts/rope/strand.py
@@ -44,6 +44,7 @@
         self._buffer = bytearray()
         self._number = 0
         self._asked: dict[int, asyncio.Future[Any]] = {}
+        self._since: dict[int, float] = {}  # when each was asked
         self._out: list[bytes] = []
         self.closed = False
         self.heard = 0.0  # loop time at which something came last
@@ -80,10 +81,16 @@
         self._number += 1
         number = self._number
         self._asked[number] = future
-        future.add_done_callback(lambda _: self._asked.pop(number, None))
+        self._since[number] = asyncio.get_running_loop().time()
+        future.add_done_callback(lambda _: (self._asked.pop(number, None), self._since.pop(number, None)))
         self._write([ASK, number, method, payload])
         return future
 
+    def lag(self) -> float:
+        """For how long the oldest question has been without an answer."""
+        oldest = next(iter(self._since.values()), None)
+        return 0.0 if oldest is None else asyncio.get_running_loop().time() - oldest
+
     def tell(self, method: str, payload: Any) -> None:
         """Tell, and want no answer."""
         if not self.closed:
--- a/huts/weather/mountain.py
+++ b/huts/weather/mountain.py
@@ -136,7 +136,7 @@
 
     def _drop_disk_handle(self) -> None:
         if self.hut is not None and self.hut.keeper is not None:
-            self.hut.keeper.ledger.abandon()
+            self.hut.keeper.stock.ledger.abandon()
 
     def kill(self, again: float = DOWN) -> None:
         """SIGKILL; it is started again after a while."""
