--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -22,7 +22,7 @@
 from huts.descent.carrier import Carrier, Parcel, Verdict
 from huts.events import Event, say
 from huts.lookout import Target, TargetState
-from huts.rations import Window
+from huts.rations import Ration
 from huts.refuge import Record, State
 from huts.waymark import Configuration, Route, Service
 
@@ -50,7 +50,18 @@
 class Load:
     """A message to be delivered."""
 
-    __slots__ = ("destination", "record", "ref", "route", "seal", "sends", "stage", "tries", "verdict")
+    __slots__ = (
+        "destination",
+        "rationed",
+        "record",
+        "ref",
+        "route",
+        "seal",
+        "sends",
+        "stage",
+        "tries",
+        "verdict",
+    )
 
     def __init__(self, record: Record) -> None:
         self.record = record
@@ -58,6 +69,7 @@
         self.ref = self.sends = 0  # its name at the module, and calls under that name
         self.route: Route | None = None
         self.destination = 0
+        self.rationed = False  # a token of its service's limit was taken for its next call
         self.tries = 0  # offers without a lease since it was ready
         self.verdict: Verdict | None = None
         self.seal = ""
@@ -89,7 +101,8 @@
 
 class Descent:
     """See the module. `finish` takes an end, `wrong` an instance that is not where it was; `may_send` says
-    whether nobody else can hold what we hold; `parts` by how many a limit is shared."""
+    whether nobody else can hold what we hold; `parts` by how many a limit is shared; `window` is the rule of
+    limits: its seconds, and the excess that it allows."""
 
     def __init__(
         self,
@@ -100,11 +113,11 @@
         wrong: Callable[[str], None],
         may_send: Callable[[], bool],
         parts: Callable[[], int],
-        span: float,
+        window: tuple[float, float],
         connections: int,
     ) -> None:
         self._zone, self._finish, self._wrong = zone, finish, wrong
-        self._may_send, self._parts, self._span = may_send, parts, span
+        self._may_send, self._parts, self._window = may_send, parts, window
         self._loop = asyncio.get_running_loop()
         self.config: Configuration | None = None
         self._loads: dict[str, Load] = {}
@@ -118,7 +131,7 @@
         self._places: dict[int, tuple[str, int]] = {}
         self._targets: dict[bytes, Target] = {}
         self._entries: dict[bytes, api.Entry] = {}
-        self._windows: dict[str, Window] = {}
+        self._rations: dict[str, Ration] = {}
         self._classes: dict[tuple[float, float], int] = {}
         self._events: list[api.Event] = []
         self._turning = False
@@ -245,6 +258,10 @@
     def _move(self, load: Load, stage: Stage) -> None:
         """The one place in which a message's stage changes."""
         held = (Stage.OFFERED, Stage.OUT)
+        if load.rationed and stage not in held:
+            load.rationed = False
+            if load.route is not None:
+                self._rations[load.route.service].refund()
         if load.stage in held and stage not in held:
             service, far = self._places[load.destination]
             self._queues[service].offered[far] -= 1
@@ -309,6 +326,9 @@
                 load = queue.pop(now)
                 if load is None:
                     break
+                load.rationed = service.rate_per_s > 0
+                if load.rationed:
+                    self._rations[name].count()
                 self._offer(load, queue, ways, now)
 
     def _ways(self, name: str) -> list[int]:
@@ -323,11 +343,13 @@
 
     def _within(self, service: Service, queue: Queue, now: float) -> bool:
         """Whether the limit's share has room for one more beside what is on its way."""
-        window = self._windows.setdefault(service.name, Window(self._span))
-        at = window.room_at(now, service.rate_per_s, self._parts())
-        if at > now:
+        ration = self._rations.get(service.name)
+        if ration is None:
+            ration = self._rations[service.name] = Ration(*self._window, now)
+        at = ration.room_at(now, service.rate_per_s, self._parts())
+        if at > now and (queue.fresh or queue.late):
             self._wake_at(at + 0.001)
-        return at <= now and queue.offered[0] < max(1, int(service.rate_per_s / self._parts()))
+        return at <= now
 
     def _offer(self, load: Load, queue: Queue, ways: list[int], now: float) -> None:
         assert load.route is not None
@@ -409,15 +431,33 @@
         if load is None or load.route is None:
             self._events.append(api.ClientGone(ref))
             return
-        now = self._loop.time()
-        service, _ = self._places[load.destination]
-        if (window := self._windows.get(service)) is not None:
-            window.count(now)
+        service = load.route.service
+        ration = self._rations.get(service)
+        if not load.rationed and ration is not None and not self._paid(ration, service):
+            return self._refuse_call(load, target)  # a further call of this offer waits for its own token
+        load.rationed = False
         self._move(load, Stage.OUT)
         guard = load.route.guard_timer_ms / 1000 + ANSWER_SLACK
         load.sends += 1
         self._carrier.call(target, [Item(ref, load.sends - 1, load.record.id, "", b"", guard)])
 
+    def _paid(self, ration: Ration, name: str) -> bool:
+        """Whether a limit has room for a call now; then it is counted."""
+        service = self.config.by_service.get(name) if self.config is not None else None
+        now = self._loop.time()
+        if service is None or service.rate_per_s <= 0:
+            return True
+        if ration.room_at(now, service.rate_per_s, self._parts()) > now:
+            return False
+        ration.count()
+        return True
+
+    def _refuse_call(self, load: Load, target: bytes) -> None:
+        """The module hears that its call did not go out."""
+        load.sends += 1
+        self._events.append(api.Outcome(load.ref, load.sends - 1, target, api.Result.MOOT, 0.0))
+        self._turn()
+
     def _judged(self, ref: int, verdict: Verdict, seal: str) -> None:
         if (load := self._refs.get(ref)) is not None:
             load.verdict, load.seal = verdict, seal
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -245,6 +245,8 @@
         match method:
             case "take":
                 return keeper.take(payload)
+            case "claim":
+                return keeper.claimed(payload)
             case "keep":
                 return keeper.keep(payload)
             case "ended":
@@ -337,9 +339,10 @@
         for told in ledger.noted(ROSTER) or []:
             self.roster.add(Member.read(told | {"life": 0}))
         self.targets = Targets(boot.heartbeat_ms / 1000, self._target_changed)
+        window = boot.bounds.origin_window_s, boot.bounds.origin_excess
         self.descent = Descent(
             boot.zone, self.tasks, self._seed, self._finished, self._wrong, keeper.holding.in_touch,
-            self._parts, boot.bounds.origin_window_s, max(64, (boot.max_fds - 300) // 4),
+            self._parts, window, max(64, (boot.max_fds - 300) // 4),
         )  # fmt: skip
         stock.deliverer = self.descent
 
--- a/huts/rations/__init__.py
+++ b/huts/rations/__init__.py
@@ -1,5 +1,5 @@
 """Shares of a service's limit: what this process may send of what all may send together."""
 
-from huts.rations.window import Window
+from huts.rations.ration import Ration
 
-__all__ = ["Window"]
+__all__ = ["Ration"]
--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -21,6 +21,8 @@
 COPY = 0.25  # seconds for another store to have a copy on its disk
 HEDGE = 0.035  # seconds after which a further store is asked as well
 TAKE = 0.42  # seconds in which a message stands, or is not taken
+CLAIM = 0.1  # seconds for another store to tell what it knows of a message that we take
+DISK_LAG = 0.05  # seconds for which a commit has been running, from which on others are better asked
 VOID = 0.15  # seconds for another store to say that it has taken a cancellation
 LATE = 0.5  # seconds after its retention at which a message is dead for sure, whatever clock says so
 ROOM = 0.8  # share of the disk that records may fill
@@ -86,6 +88,7 @@
         ledger.note("life", 1)
         began = loop.time()
         while not first and not self._known(loop.time() - began, lost):
+            self.holding.tick(loop.time())
             self.repair.due(loop.time())
             await asyncio.sleep(0.02)
         self.become(Phase.SERVING)
@@ -120,6 +123,8 @@
             return {"ok": False, "clear": known is None, "why": self.phase.value}
         if self.full or self.stock.shelf.bytes + len(told["body"]) > self._memory:
             return {"ok": False, "clear": known is None, "why": "full"}
+        if self._disk_lags():
+            return {"ok": False, "clear": known is None, "why": "its disk stands still"}
         if self._partner(set()) is None and not self._enough([self.me]):
             return {"ok": False, "clear": known is None, "why": "too few stores"}
         taking = self._taking[id] = asyncio.get_running_loop().create_future()
@@ -150,18 +155,20 @@
         first = self._partner(set())
         record = self._written(told, epoch, known, [first.name] if first is not None else [])
         own = self.stock.standing()
-        have, asked = await self._copies(record, first)
+        claimed = self._claim(record, told.get("maybe") or [])
+        (have, asked), _ = await asyncio.gather(self._copies(record, first), claimed)
         await own
-        if epoch > 1:  # another may have taken it before us: it is ours now
-            for peer in self._stores().values():
-                peer.tell("ended", [self.stock.word(record)])
+        if self._enough([self.me, *have]) and not record.open and record.state is not State.VOID:
+            return {"ok": True, "clear": False, "why": "ended"}
+        if self._enough([self.me, *have]) and record.open and record.epoch > epoch:
+            return {"ok": True, "clear": False, "why": "another delivers it"}
         if self._enough([self.me, *have]) and record.open and record.epoch == epoch:
             if record.holder == self.me and self.stock.delivers:
                 self.stock.deliverer.deliver(record)
             elif record.holder == self.me:
                 await self.holding.hand_over([record])
             return {"ok": True, "clear": False, "why": ""}
-        clear = await self._void(record, asked) and known is None and epoch == 1
+        clear = await self._void(record, asked, epoch) and known is None and epoch == 1
         return {"ok": False, "clear": clear, "why": "no copy"}
 
     def _partner(self, but: set[str]) -> Peer | None:
@@ -210,11 +217,44 @@
         except Lost as lost:
             return False if lost.sent else None
 
-    async def _void(self, record: Record, asked: set[str]) -> bool:
-        """It is not taken after all; whether no copy of it can ever run."""
-        self.stock.merge(record, State.VOID, "", record.epoch, record.holder, record.attempts)
+    async def _claim(self, record: Record, maybe: list[str]) -> None:
+        """Others may have taken it for the same client: it is ours now, unless they deliver it or have."""
+        word = self.stock.word(record)
+        peers = [p for n, p in self._known_stores().items() if n in maybe]
+        told = await asyncio.gather(*(p.ask("claim", word, CLAIM) for p in peers), return_exceptions=True)
+        for answer in told:
+            if isinstance(answer, list):
+                self.stock.merge(record, *answer[1:])
+
+    def claimed(self, word: list[Any]) -> list[Any]:
+        """Another store takes what we may have taken: what we know of it now."""
+        id, _, _, epoch, holder, attempts = word
+        record = self.stock.shelf.records.get(id)
+        if record is None:  # should it come here yet, it is void
+            record = self._stub(id, epoch - 1, holder)
+        elif record.open and record.holder == self.me and not self.stock.deliverer.withdraw(record):
+            self.stock.merge(record, record.state, "", epoch + 1, self.me, record.attempts)
+        else:
+            self.stock.merge(record, State.QUEUED, "", epoch, holder, attempts)
+        return self.stock.word(record)
+
+    def _stub(self, id: str, epoch: int, holder: str) -> Record:
+        """A note that nothing of a message may run that was written under this epoch."""
+        now = asyncio.get_running_loop().time()
+        record = Record(id, "", "", "", "", None)
+        record.state, record.epoch, record.holder = State.VOID, epoch, holder
+        record.keepers, record.ended, record.end = (self.me, holder), now, now
+        self.stock.add(record)
+        return record
+
+    def _disk_lags(self) -> bool:
+        return self.stock.ledger.lag(asyncio.get_running_loop().time()) > DISK_LAG
+
+    async def _void(self, record: Record, asked: set[str], epoch: int) -> bool:
+        """It is not taken after all; whether no copy of it that was written under this epoch can ever run."""
+        self.stock.merge(record, State.VOID, "", epoch, self.me, record.attempts)
         own = self.stock.standing()
-        word = [self.stock.word(record)]
+        word = [[record.id, int(State.VOID), "", epoch, self.me, record.attempts]]
         others = [p for n, p in self._stores().items() if n in asked]
         sure = await asyncio.gather(*(self._sure(p, word) for p in others))
         await own
@@ -237,7 +277,7 @@
 
     async def keep(self, told: dict[str, Any]) -> bool:
         """Another store sends a copy; whether it is on our disk now, as it was sent."""
-        if self.phase in (Phase.CLOSING, Phase.RETIRING):
+        if self.phase in (Phase.CLOSING, Phase.RETIRING) or self._disk_lags():
             return False
         record = self.stock.absorb(told)
         await self.stock.standing()
@@ -249,7 +289,7 @@
         """The delivery of a message that we hold has ended it."""
         self.stock.merge(record, state, seal, record.epoch, record.holder, record.attempts)
         word = [self.stock.word(record)]
-        for node in record.keepers:
+        for node in {*record.keepers, record.holder}:
             peer = self._known_stores().get(node)
             if peer is not None:
                 peer.tell("ended", word)  # who does not hear it now hears it when copies are compared
@@ -259,17 +299,13 @@
 
         A void that comes before its copy is kept as one, so that the copy can't bring it back.
         """
-        now = asyncio.get_running_loop().time()
         for id, state, seal, epoch, holder, attempts in words:
             record = self.stock.shelf.records.get(id)
             if record is not None:
                 if record.body is not None or state != State.QUEUED or record.open:
                     self.stock.merge(record, state, seal, epoch, holder, attempts)
             elif state == State.VOID:
-                record = Record(id, "", "", "", "", None)
-                record.state, record.epoch, record.holder = State.VOID, epoch, holder
-                record.keepers, record.ended, record.end = (self.me, holder), now, now
-                self.stock.add(record)
+                self._stub(id, epoch, holder)
         await self.stock.standing()
         return True
 
--- a/huts/refuge/ledger.py
+++ b/huts/refuge/ledger.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import sqlite3
 from collections.abc import Callable
 from pathlib import Path
@@ -38,6 +40,7 @@
         )
         self._db.execute("CREATE TABLE IF NOT EXISTS marks (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
         self._writes: list[_Write] = []
+        self._busy_since = math.inf
         self._sync = GroupSync(self, offload, failed)
 
     def _meta(self, record: Record, now: float) -> bytes:
@@ -84,12 +87,17 @@
         if self._writes:
             self._sync.stands(_nothing)
 
+    def lag(self, now: float) -> float:
+        """For how long the commit that runs has been running."""
+        return max(0.0, now - self._busy_since)
+
     def unsynced(self) -> Callable[[], None]:
         writes, self._writes = self._writes, []
+        self._busy_since = asyncio.get_running_loop().time()
         return lambda: self._commit(writes)
 
     def synced(self) -> None:
-        pass
+        self._busy_since = math.inf
 
     def _commit(self, writes: list[_Write]) -> None:
         try:
--- a/huts/refuge/stock.py
+++ b/huts/refuge/stock.py
@@ -55,6 +55,8 @@
     def merge(self, record: Record, state: int, seal: str, epoch: int, holder: str, attempts: int) -> bool:
         """Take what another copy knows: in memory, on disk soon, and for who delivers it."""
         was_mine = record.open and record.holder == self.me
+        if state == State.QUEUED and record.state is State.VOID and record.body is None:
+            return False  # a mere note of a void: whoever has the bytes knows who holds it
         if not record.merge(State(state), seal, epoch, holder, attempts):
             return False
         record.ended = 0.0 if record.open else record.ended or self._now()
--- a/huts/trailhead/front.py
+++ b/huts/trailhead/front.py
@@ -66,21 +66,23 @@
     async def _take(self, told: dict[str, Any], reply: Reply) -> None:
         loop = asyncio.get_running_loop()
         began, unclear = loop.time(), False
-        stores = self._stores()
+        stores, maybe = self._stores(), list[str]()
         for at, peer in enumerate(stores):
             left = began + IN_ALL - loop.time()
             if left <= 0.02:
                 break
             last = at + 1 == len(stores)
-            told["tries"], told["age"] = at if unclear else 0, loop.time() - began
+            told["tries"], told["age"], told["maybe"] = len(maybe), loop.time() - began, maybe
             try:
                 answer = await peer.ask("take", told, left if last else min(left, STORE))
             except Lost as lost:
+                maybe = [*maybe, peer.name] if lost.sent else maybe
                 unclear = unclear or lost.sent
                 continue
             if answer["ok"]:
                 return reply.send(202)
-            unclear = unclear or not answer["clear"]
+            if not answer["clear"]:
+                unclear, maybe = True, [*maybe, peer.name]
         if unclear:
             return reply.send(504)
         reply.send(503, RETRY)
--- a/huts/weather/actors.py
+++ b/huts/weather/actors.py
@@ -255,9 +255,9 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def send_raw(self, body: bytes) -> int:
+    async def send_raw(self, body: bytes, controls: list[tuple[str, int]] | None = None) -> int:
         """Anything; the status of the answer."""
-        for control in self.world.controls() * 3:
+        for control in (controls or self.world.controls()) * 3:
             try:
                 return (
                     await ask(control, "POST", "/api/configuration/replace", body, {"Host": "c"}, 1.0)
--- a/huts/weather/mountain.py
+++ b/huts/weather/mountain.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextvars
 import errno
+import json
 import random
 import shutil
 import tempfile
@@ -86,7 +87,7 @@
         self.hut: Hut | None = None
         self.lives = 0
         self.stopping = self.off = False
-        self.skew = world.random.uniform(-0.02, 0.02)
+        self.skew, self.disk_s = world.random.uniform(-0.02, 0.02), SYNC
 
     def boot(self) -> Boot:
         """What its process is told."""
@@ -128,7 +129,7 @@
         )
 
         async def offload(work: Callable[[], None]) -> None:
-            await asyncio.sleep(SYNC)
+            await asyncio.sleep(self.disk_s)
             work()
 
         self.hut = Hut(boot, machine, offload, life, world.random.randrange(1 << 30), lambda _: self.kill())
@@ -260,6 +261,21 @@
         await self.run_in(target.process, target.start())
         return target
 
+    def add_store(self, name: str, zone: str) -> Node:
+        """A machine more, with an empty disk."""
+        host = f"10.{zone[1:]}.1.{100 + len(self.nodes)}"
+        self._zones[host] = zone
+        node = self.nodes[name] = Node(self, name, zone, host, True)
+        node.start()
+        return node
+
+    def text(self, revision: int, nominal_start_ms: int) -> bytes:
+        """A version with another figure in it."""
+        told = self.configuration(revision)
+        for route in told["route_entries"]:
+            route["nominal_start_ms"] = nominal_start_ms
+        return json.dumps(told).encode()
+
     def silence(self, node: Node) -> None:
         """No power: nothing comes from it or gets there, and nobody is told."""
         for port in (INNER, FRONT, READY, CONTROL):
--- /dev/null
+++ b/tests/huts/test_state.py
@@ -0,0 +1,219 @@
+"""What the system's own state survives: freezes, cuts, machines that are replaced, added or retired."""
+
+import asyncio
+
+from ward import each, test
+
+from huts.refuge import Phase
+from huts.weather.actors import ask
+from huts.weather.mountain import CONTROL
+from huts.weather.play import Day
+from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, play, until
+
+
+def ran(scene: Day, id: str) -> int:
+    """How often a message succeeded."""
+    return len([r for r in scene.world.history.runs.get(id, []) if r.status == 200])
+
+
+@test("a holder that froze and wakes sends nothing that others have taken over")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        sent = [await hand_in(day, "f0", delay_ms=1500) for _ in range(8)]
+        process = world.nodes["s0"].process
+        process.stop()
+        await asyncio.sleep(4.5)
+        assert all(ran(day, s.id) == 1 for s in sent)
+        process.go_on(world.loop)
+        await asyncio.sleep(3.0)
+        assert all(ran(day, s.id) == 1 for s in sent)
+        assert world.nodes["s0"].hut.keeper.holding.in_touch()
+
+    assert not play(Plan(21), scene)[1]
+
+
+@test("a store that is replaced by an empty one elsewhere: two copies again, and the old one counts no more")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        sent = [await hand_in(day, f"f{n % 3}", delay_ms=40_000) for n in range(24)]
+        world.nodes["s0"].power_off(1000.0)
+        await asyncio.sleep(1.2)
+        world.add_store("s9", "z0")
+        await asyncio.sleep(4.5)
+        for one in sent:
+            assert len([n for n in on_disk(world, one.id) if n != "s0"]) >= 2
+        await until(lambda: "s0" not in world.nodes["s1"].hut.current(), 8.0)
+        world.nodes["s1"].power_off(1.0)
+        await asyncio.sleep(0.5)
+        assert world.nodes["s2"].hut.keeper.holding.in_touch()
+        assert (await hand_in(day, "f1")).answer in (202, 504)
+        await asyncio.sleep(2.0)
+        assert (await hand_in(day, "f1")).answer == 202
+        assert await day.operator.read_back() == 3
+
+    assert not play(Plan(22), scene)[1]
+
+
+@test("a store that is cut off from the others takes nothing, and a forwarder goes on to the next at once")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for other in ("s1", "s2"):
+            world.cut("s0", other, 8.0)
+        answers = [(await hand_in(day, f"f{n % 3}")).answer for n in range(30)]
+        assert answers.count(202) == 30, str(answers)
+        await asyncio.sleep(14.0)
+        assert all(ran(day, id) == 1 for id in world.history.sent)
+
+    assert not play(Plan(23), scene)[1]
+
+
+@test(
+    "a message whose first store answers too late is delivered once: {after} ms after it was sent its link stops"
+)
+def _(after: float = each(0.5, 1.0, 2.0, 3.0, 5.0, 20.0, 60.0)) -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for _ in range(6):
+            coming = asyncio.get_running_loop().create_task(hand_in(day, "f0"))
+            await asyncio.sleep(after / 1000)
+            world.cut("f0", "s0", 1.0)
+            sent = await coming
+            assert sent.answer == 202
+            await asyncio.sleep(3.0)
+            assert ran(day, sent.id) == 1
+
+    assert not play(Plan(30), scene)[1]
+
+
+@test("a disk that stands still for seconds holds nobody up")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        world.nodes["s1"].disk_s = 3.0
+        told = [await hand_in(day, f"f{n % 3}") for n in range(30)]
+        assert all(s.answer == 202 for s in told)
+        quick = [s for s in told if s.answered - s.at < 0.08]
+        assert len(quick) >= 24, str([round(s.answered - s.at, 3) for s in told])
+        world.nodes["s1"].disk_s = 0.001
+        await asyncio.sleep(8.0)
+        assert all(ran(day, s.id) == 1 for s in told)
+
+    assert not play(Plan(24), scene)[1]
+
+
+@test(
+    "two texts under one version, sent at once to two machines: both are acknowledged, one stands everywhere"
+)
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        bodies = [world.text(9, nominal) for nominal in (800, 900)]
+        hosts = [(world.nodes[n].host, CONTROL) for n in ("s0", "s2")]
+        calls = [
+            ask(h, "POST", "/api/configuration/replace", b, {"Host": "c"}, 2.0)
+            for h, b in zip(hosts, bodies, strict=True)
+        ]
+        assert [a.status for a in await asyncio.gather(*calls)] == [200, 200]
+        await asyncio.sleep(1.5)
+        texts = {n.hut.cairn.force.raw for n in world.nodes.values()}
+        assert len(texts) == 1 and texts <= set(bodies)
+
+    assert not play(Plan(25), scene)[1]
+
+
+async def control(scene: Day, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+    for address in scene.world.controls() * 5:
+        try:
+            answer = await ask(address, method, path, body, {"Host": "c"}, 1.0)
+        except (OSError, TimeoutError):
+            continue
+        if answer.status != 503:
+            return answer.status, bytes(answer.body)
+    return 0, b""
+
+
+@test("a store is retired under load: nothing is lost, late or twice, and its disk may go at once")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        waiting = [await hand_in(day, f"f{n % 3}", delay_ms=20_000) for n in range(30)]
+        assert (await control(day, "POST", "/api/retire/s1/initiate", b'{"period_s":8}'))[0] == 200
+        for n in range(40):
+            assert (await hand_in(day, f"f{n % 3}")).answer == 202
+
+        async def done() -> bool:
+            return b"completed" in (await control(day, "GET", "/api/retire/s1/retrieve"))[1]
+
+        for _ in range(80):
+            if await done():
+                break
+            await asyncio.sleep(0.1)
+        assert await done()
+        world.nodes["s1"].power_off(1000.0, wipe=True)
+        await asyncio.sleep(0.1)
+        for one in waiting:
+            assert len([n for n in on_disk(world, one.id) if n != "s1"]) >= 2
+        assert (await hand_in(day, "f0")).answer == 202
+        await asyncio.sleep(22.0)
+        assert all(ran(day, id) == 1 for id in world.history.sent)
+        late = [s for s in waiting if world.history.runs[s.id][0].at > s.at + s.delay + 1.0]
+        assert not late
+
+    assert not play(Plan(26, stores=4), scene)[1]
+
+
+@test(
+    "a retirement is refused where too few would be left, of a machine that nobody knows, and beside another"
+)
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        assert (await control(day, "POST", "/api/retire/s7/initiate", b"{}"))[0] == 404
+        assert (await control(day, "GET", "/api/retire/s0/retrieve"))[0] == 404
+        assert (await control(day, "POST", "/api/retire/s0/initiate", b'{"period_s":"soon"}'))[0] == 400
+        assert (await control(day, "POST", "/api/retire/s0/initiate", b'{"period_s":5}'))[0] == 200
+        assert (await control(day, "POST", "/api/retire/s0/initiate", b'{"period_s":5}'))[0] == 200
+        await asyncio.sleep(1.0)
+        assert (await control(day, "POST", "/api/retire/s1/initiate", b"{}"))[0] == 409
+        assert world.nodes["s0"].hut.keeper.phase is Phase.RETIRING
+
+    assert not play(Plan(27), scene)[1]
+
+
+@test("a retirement goes on after its machine was killed, and after all were")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for n in range(20):
+            await hand_in(day, f"f{n % 3}", delay_ms=30_000)
+        for target in world.targets.values():
+            target.lost = 1.0
+        assert (await control(day, "POST", "/api/retire/s1/initiate", b"{}"))[0] == 200
+        world.nodes["s1"].kill(0.5)
+        await asyncio.sleep(0.7)
+        for node in world.nodes.values():
+            node.kill(0.5)
+        await asyncio.sleep(6.0)
+        assert b"completed" in (await control(day, "GET", "/api/retire/s1/retrieve"))[1]
+
+    assert not play(Plan(28, stores=4), scene)[1]
+
+
+@test("losses of state in a row: {what}")
+def _(what: str = each("freeze", "power", "wipe", "kill")) -> None:
+    faults = [Fault(1.0 + 10.0 * n, what, f"s{n}", 2.5) for n in range(2)]
+    world, breaches = day(*faults, seconds=16.0, per_s=20.0)
+    assert not breaches, str(breaches[:3])
+    kept(world)
