--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -202,6 +202,8 @@
             TargetState.DRAINING: api.Phase.DRAINING,
             TargetState.GONE: api.Phase.GONE,
         }[target.state]
+        if target.silent:
+            phase = api.Phase.GONE
         if phase is api.Phase.GONE and name not in self._entries:
             return
         most = target.capacity if not far else max(1, target.capacity // 2)
--- a/huts/events.py
+++ b/huts/events.py
@@ -34,6 +34,8 @@
     TARGET_DRAINING = 402
     TARGET_GONE = 403
     BEAT_BAD = 404
+    TARGET_SILENT = 405
+    TARGET_BACK = 406
     DISK_READ = 501
     DISK_FAILED = 502
     DISK_EMPTY = 503
@@ -103,7 +105,17 @@
     Event.TARGET_GONE: (
         logging.INFO,
         "target gone",
-        "It deregistered, fell silent, or another life has its address.",
+        "It deregistered, or another life has its address.",
+    ),
+    Event.TARGET_SILENT: (
+        logging.INFO,
+        "target silent",
+        "No beat of it came for long; it gets nothing until one does.",
+    ),
+    Event.TARGET_BACK: (
+        logging.INFO,
+        "target heard again",
+        "A silent target was heard of; it gets messages again.",
     ),
     Event.BEAT_BAD: (logging.WARNING, "beat refused", "A target sent what can't be read."),
     Event.DISK_READ: (logging.INFO, "disk read", "The records of the earlier life were read."),
--- a/huts/lookout/targets.py
+++ b/huts/lookout/targets.py
@@ -2,6 +2,9 @@
 
 Each start of a target is a new life with a new id, so a life only goes forward: in service, draining, gone.
 What is told twice or late changes nothing. It is soft state: after a loss the next beats tell it again.
+
+That a target is silent is an opinion of this process, which may be cut off itself: it is told to nobody, and
+the next word that the target or another store has of it ends it.
 """
 
 from __future__ import annotations
@@ -44,6 +47,12 @@
     sequence: int
     heard: float
     warm: float = 0.0  # until then it is slow
+    silent: bool = False  # nothing was heard of it here for long
+
+    @property
+    def live(self) -> bool:
+        """Whether messages may go there, as far as is known."""
+        return self.state is TargetState.IN_SERVICE and not self.silent
 
     def told(self, now: float) -> list[Any]:
         """As one store tells another."""
@@ -112,7 +121,10 @@
                 return False
             self._arrive(told)
             return True
-        known.heard = max(known.heard, told.heard) if known.state is not TargetState.GONE else known.heard
+        if known.state is not TargetState.GONE:
+            known.heard = max(known.heard, told.heard)
+            if known.silent and now - known.heard <= self._silent:
+                self._hush(known, False)
         if told.sequence > known.sequence:
             known.sequence, known.warm = told.sequence, told.warm
         if told.state <= known.state:
@@ -147,18 +159,26 @@
             del self._by_address[target.address]
         self._changed(target)
 
+    def _hush(self, target: Target, silent: bool) -> None:
+        """The one place in which the opinion changes."""
+        target.silent = silent
+        say(Event.TARGET_SILENT if silent else Event.TARGET_BACK, target.id)
+        self._changed(target)
+
     def wrong(self, id: str, now: float) -> None:
         """Something else answered at its address: this life is over."""
         self.leave(id, now)
 
     def tick(self, now: float) -> None:
-        """Who has been silent for too long is gone; who has been gone for long is forgotten."""
+        """Who has not been heard for long gets nothing; after longer it is forgotten."""
         for target in list(self.known.values()):
-            if target.state is not TargetState.GONE and now - target.heard > self._silent:
-                self._become(target, TargetState.GONE)
-                target.heard = now
-            elif target.state is TargetState.GONE and now - target.heard > REMEMBERED:
+            silent = now - target.heard > self._silent
+            if target.state is not TargetState.GONE and silent and not target.silent:
+                self._hush(target, True)
+            elif now - target.heard > REMEMBERED:
                 del self.known[target.id]
+                if self._by_address.get(target.address) is target:
+                    del self._by_address[target.address]
 
 
 def _text(value: Any) -> str:
--- a/huts/refuge/holding.py
+++ b/huts/refuge/holding.py
@@ -29,15 +29,19 @@
     ) -> None:
         self._stock, self._repair, self._stores, self._able = stock, repair, stores, able
         self._ticked = asyncio.get_running_loop().time()
+        self._apart = -1e9  # when it last did not reach most of the stores: it was cut off, not they
         self._stalled = -1e9  # when this process last stood still
 
     # Whether we may deliver.
 
     def in_touch(self) -> bool:
         """Whether nobody can have taken over what we hold: most of the stores hear us, or are surely dead."""
+        return self._reaches() and not self._doubtful()
+
+    def _reaches(self) -> bool:
         others = self._stores().values()
         there = sum(peer.up or peer.state is PeerState.REFUSED for peer in others)
-        return 2 * (1 + there) > 1 + len(others) and not self._doubtful()
+        return 2 * (1 + there) > 1 + len(others)
 
     def _doubtful(self) -> bool:
         """Whether this process stood still, and has not compared with those that are up since."""
@@ -52,6 +56,8 @@
             self._stalled = now
             self._repair.mended.clear()
             say(Event.STOOD_STILL, f"seconds={now - self._ticked:.2f}")
+        if not self._reaches():
+            self._apart = now
         self._ticked = now
 
     # Giving.
@@ -103,7 +109,8 @@
         if peer.state is PeerState.REFUSED:
             return now - peer.since > DEAD
         silent = peer.state is PeerState.SILENT or not peer.up
-        return silent and now - max(peer.last_up, peer.began) > LEASE and self.in_touch()
+        since = max(peer.last_up, peer.began, self._apart)
+        return silent and now - since > LEASE and self.in_touch()
 
     def take_over(self, now: float, known: dict[str, Peer]) -> None:
         """What dead holders held, and we are the first living keeper of, is ours from now on.
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -73,6 +73,29 @@
     assert not play(Plan(23), scene)[1]
 
 
+@test(
+    "who was cut off gives up no target for the others, and takes nothing over from those that it did not hear"
+)
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for other in ("s1", "s2"):
+            world.cut("s0", other, 7.0)
+        await asyncio.sleep(6.5)
+        sent = [await hand_in(day, f"f{n % 3}", delay_ms=2500) for n in range(12)]
+        await asyncio.sleep(1.0)
+        for node in ("s0", "s1", "s2"):
+            hut = world.nodes[node].hut
+            assert all(t.live for t in hut.targets.known.values()), node
+        await asyncio.sleep(5.0)
+        assert all(ran(day, s.id) == 1 for s in sent)
+        holders = {world.nodes["s1"].hut.keeper.stock.shelf.records[s.id].epoch for s in sent}
+        assert holders == {1}, str(holders)
+
+    assert not play(Plan(31), scene)[1]
+
+
 @test(
     "a message whose first store answers too late is delivered once: {after} ms after it was sent its link stops"
 )
