--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -125,8 +125,9 @@
             return {"ok": False, "clear": known is None, "why": "full"}
         if self._disk_lags():
             return {"ok": False, "clear": known is None, "why": "its disk stands still"}
-        if self._partner(set()) is None and not self._enough([self.me]):
-            return {"ok": False, "clear": known is None, "why": "too few stores"}
+        partner = self._partner(set())
+        if (partner is None or partner.lagging) and not self._enough([self.me]):
+            return {"ok": False, "clear": known is None, "why": "no other store answers"}
         taking = self._taking[id] = asyncio.get_running_loop().create_future()
         try:
             answer = await self._take(told, epoch, known)
--- a/huts/trailhead/front.py
+++ b/huts/trailhead/front.py
@@ -16,7 +16,7 @@
 from huts.rope import Lost, Peer
 from huts.waymark import Configuration
 
-STORE = 0.22  # seconds for a store to say that a message stands, while another could be asked
+STORE = 0.15  # seconds for a store to say that a message stands, while another could be asked
 IN_ALL = 0.46  # seconds in which a client has its answer
 RETRY = 0.12  # seconds after which a client may come again
 ASKED = 0.7  # seconds for the stores to tell of a message
