--- a/huts/hut.py
+++ b/huts/hut.py
@@ -24,6 +24,7 @@
 from huts.trailhead import desk as desks
 from huts.waymark import Boot, Configuration
 
+LEFT_OUT = "left out"  # the name under which those that were counted out are noted
 ROSTER = "stores"  # the name under which the stores are noted on disk
 TAKE_STILL = (
     2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
@@ -101,16 +102,27 @@
             return
         for name, peer in self.stores().items():
             silent = now - max(peer.last_up, peer.began)
-            if peer.up:
+            if peer.up and name in self._left:
                 self._left.discard(name)
+                self._note_left()
+            elif peer.up:
+                continue
             elif name not in self._left and silent > LEFT and self.keeper.holding.in_touch():
                 self._left.add(name)
+                self._note_left()
                 say(Event.MEMBER_LEFT, name)
             elif name in self._left and silent > FORGOTTEN:
                 self._left.discard(name)
+                self._note_left()
                 self.roster.remove(name)
                 self._dial()
 
+    def _note_left(self) -> None:
+        """Who was counted out stays so over our next start, until it is heard: nobody waits for it then."""
+        if self.keeper is not None:
+            self.keeper.stock.ledger.note(LEFT_OUT, sorted(self._left))
+            self.keeper.stock.ledger.settle()
+
     def able_stores(self) -> list[Peer]:
         """Those that take messages and copies."""
         return [p for n, p in self.current().items() if p.up and self.serving(n)]
@@ -335,6 +347,7 @@
         )  # fmt: skip
         keeper.repair.leaving = lambda: set(self.retire.marks)
         self.retire.load(ledger.noted("retire"))
+        self._left = set(ledger.noted(LEFT_OUT) or [])
         keeper.phase_changed = lambda _: self._tell_beat()
         for told in ledger.noted(ROSTER) or []:
             self.roster.add(Member.read(told | {"life": 0}))
--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -27,7 +27,7 @@
 LATE = 0.5  # seconds after its retention at which a message is dead for sure, whatever clock says so
 ROOM = 0.8  # share of the disk that records may fill
 IN_MEMORY = 0.35  # share of the memory that waiting bodies may fill
-ALONE = 3.0  # seconds after which a start goes on without those that do not answer
+ALONE = 1.5  # seconds after which a start goes on without those that do not answer
 
 
 class Keeper:
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -234,6 +234,24 @@
     assert not play(Plan(28, stores=4), scene)[1]
 
 
+@test("after a loss of power everywhere nobody waits for a store that had been gone for long")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        world.nodes["s0"].power_off(1e6)
+        world.add_store("s9", "z0")
+        await asyncio.sleep(9.0)
+        for node in list(world.nodes.values()):
+            if node.name != "s0":
+                node.power_off(0.5)
+        await asyncio.sleep(1.0)
+        assert all(world.nodes[n].hut.keeper.phase is Phase.SERVING for n in ("s1", "s2", "s9"))
+        assert (await hand_in(day, "f1")).answer == 202
+
+    assert not play(Plan(32), scene)[1]
+
+
 @test("losses of state in a row: {what}")
 def _(what: str = each("freeze", "power", "wipe", "kill")) -> None:
     faults = [Fault(1.0 + 10.0 * n, what, f"s{n}", 2.5) for n in range(2)]
