--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -127,6 +127,7 @@
         self._rest: list[tuple[float, int, Load]] = []
         self._rested = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._wakes_at = math.inf
         self._numbers: dict[tuple[str, int], int] = {}  # destination by service and near or far
         self._places: dict[int, tuple[str, int]] = {}
         self._targets: dict[bytes, Target] = {}
@@ -278,13 +279,13 @@
             self._wake_at(at)
 
     def _wake_at(self, at: float) -> None:
-        if self._timer is None or self._timer.when() > at or self._timer.cancelled():
+        if at < self._wakes_at:
             if self._timer is not None:
                 self._timer.cancel()
-            self._timer = self._loop.call_at(at, self._woken)
+            self._timer, self._wakes_at = self._loop.call_at(at, self._woken), at
 
     def _woken(self) -> None:
-        self._timer = None
+        self._timer, self._wakes_at = None, math.inf
         now = self._loop.time()
         while self._rest and self._rest[0][0] <= now + 1e-4:
             load = heapq.heappop(self._rest)[2]
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -316,15 +316,7 @@
             self.ready.start()
         self._clerk: desks.Clerk = desks.Passer(self.near_stores)
         if self.keeper is not None and self.targets is not None:
-            self._clerk = desks.Keeper(
-                self.cairn,
-                self.targets,
-                self.tasks,
-                self.other_stores,
-                self._needed,
-                self._whole,
-                self.retire,
-            )
+            self._clerk = desks.Settler(self)
         if "control" in boot.listen:
             self.desk = Gate(boot.listen["control"], Desk(self._clerk).handle, most, self.tasks, self.machine)
             self.desk.most_body, self.desk.idle = 2 * 1024 * 1024, 30.0
@@ -387,14 +379,18 @@
         """By how many a limit is shared: all that deliver, for the dead may have sent just now."""
         return max(1, 1 + len(self.stores()))
 
-    def _needed(self) -> int:
+    def needed(self) -> int:
         """Of how many others it has to be heard which configuration they have."""
         return max(0, len(self.current()) - self.boot.resilience.machines)
 
-    def _whole(self) -> bool:
+    def whole(self) -> bool:
         assert self.keeper is not None
         return self.keeper.phase is not Phase.STARTING
 
+    def reaches(self) -> bool:
+        """Whether this process is not cut off from the other stores."""
+        return self.keeper is None or self.keeper.holding.reaches()
+
     def _in_force(self, config: Configuration) -> None:
         for gate in (self.front,):
             if gate is not None:
--- a/huts/refuge/holding.py
+++ b/huts/refuge/holding.py
@@ -36,9 +36,10 @@
 
     def in_touch(self) -> bool:
         """Whether nobody can have taken over what we hold: most of the stores hear us, or are surely dead."""
-        return self._reaches() and not self._doubtful()
+        return self.reaches() and not self._doubtful()
 
-    def _reaches(self) -> bool:
+    def reaches(self) -> bool:
+        """Whether most of the stores hear us, or are surely dead."""
         others = self._stores().values()
         there = sum(peer.up or peer.state is PeerState.REFUSED for peer in others)
         return 2 * (1 + there) > 1 + len(others)
@@ -56,7 +57,7 @@
             self._stalled = now
             self._repair.mended.clear()
             say(Event.STOOD_STILL, f"seconds={now - self._ticked:.2f}")
-        if not self._reaches():
+        if not self.reaches():
             self._apart = now
         self._ticked = now
 
--- a/huts/rope/peer.py
+++ b/huts/rope/peer.py
@@ -13,6 +13,7 @@
 BEAT = 0.4  # seconds between two questions whether the other side is there
 SILENT = 1.3  # seconds without a word after which a link is given up
 CONNECT = 0.6  # seconds for a connection to come up
+STUCK = 0.25  # seconds without an answer after which it is asked nothing that somebody waits for
 LAG = 0.1  # seconds without an answer after which others are preferred
 PAUSES = (0.05, 0.1, 0.2, 0.3)  # seconds before the next dial, by how many failed in a row
 
@@ -90,6 +91,11 @@
         """Whether it owes an answer for so long that another is better asked."""
         return self.strand is not None and self.strand.lag() > LAG
 
+    @property
+    def stuck(self) -> bool:
+        """Whether it owes an answer for so long that none is to be expected from it."""
+        return self.strand is not None and self.strand.lag() > STUCK
+
     async def ask(self, method: str, payload: Any, timeout: float) -> Any:
         """Ask; raises Lost with `sent` if there is no answer in time."""
         if self.strand is None or not self.up:
--- a/huts/rope/strand.py
+++ b/huts/rope/strand.py
@@ -82,12 +82,12 @@
         number = self._number
         self._asked[number] = future
         self._since[number] = asyncio.get_running_loop().time()
-        future.add_done_callback(lambda _: (self._asked.pop(number, None), self._since.pop(number, None)))
+        future.add_done_callback(lambda _: self._asked.pop(number, None))
         self._write([ASK, number, method, payload])
         return future
 
     def lag(self) -> float:
-        """For how long the oldest question has been without an answer."""
+        """For how long the oldest question has been without an answer, whether it is waited for or not."""
         oldest = next(iter(self._since.values()), None)
         return 0.0 if oldest is None else asyncio.get_running_loop().time() - oldest
 
@@ -133,6 +133,7 @@
         if not isinstance(frame, list) or not 3 <= len(frame) <= 4:
             raise ValueError("no frame")
         if frame[0] == ANSWER or frame[0] == FAILED:
+            self._since.pop(frame[1], None)
             future = self._asked.get(frame[1])
             if future is None or future.done():
                 return  # it was waited for no longer
--- a/huts/trailhead/desk.py
+++ b/huts/trailhead/desk.py
@@ -7,11 +7,11 @@
 
 import asyncio
 import json
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 from expression import Result
 
-from emberlatch.engine import Tasks
 from emberlatch.net.server import Reply, Request
 from huts.cairn import Cairn
 from huts.events import Event, say
@@ -32,6 +32,16 @@
         """The answer to a call."""
 
 
+class Retiring(Protocol):
+    """Takes the operator's calls to empty a machine."""
+
+    async def initiate(self, node: str, body: bytes) -> Answer:
+        """Begin."""
+
+    async def retrieve(self, node: str) -> Answer:
+        """How far it is."""
+
+
 class Desk:
     """The control address."""
 
@@ -50,7 +60,7 @@
 class Passer:
     """Passes calls on to the processes that keep the state."""
 
-    def __init__(self, stores: Any) -> None:
+    def __init__(self, stores: Callable[[], list[Peer]]) -> None:
         self._stores = stores
 
     async def settle(self, method: str, segments: list[str], body: bytes) -> Answer:
@@ -63,14 +73,40 @@
         return Answer.cause(503, "no machine with a disk can be reached")
 
 
-class Keeper:
+class Home(Protocol):
+    """What settling calls needs of a process that keeps the state."""
+
+    @property
+    def cairn(self) -> Cairn:
+        """The operator's word."""
+
+    @property
+    def targets(self) -> Targets | None:
+        """The table of targets, which a process that keeps the state has."""
+
+    @property
+    def retire(self) -> Retiring:
+        """Who empties machines."""
+
+    def other_stores(self) -> list[Peer]:
+        """The other stores that can be asked."""
+
+    def needed(self) -> int:
+        """Of how many others it has to be heard which configuration they have."""
+
+    def whole(self) -> bool:
+        """Whether what this process keeps can be believed: it was compared with the others'."""
+
+    def reaches(self) -> bool:
+        """Whether this process is not cut off from the others."""
+
+
+class Settler:
     """Settles calls on a machine with a disk."""
 
-    def __init__(
-        self, cairn: Cairn, targets: Targets, tasks: Tasks, others: Any, needed: Any, whole: Any, retire: Any
-    ) -> None:
-        self._cairn, self._targets, self._tasks = cairn, targets, tasks
-        self._others, self._needed, self._whole, self._retire = others, needed, whole, retire
+    def __init__(self, home: Home) -> None:
+        assert home.targets is not None
+        self._home, self._cairn, self._targets, self._retire = home, home.cairn, home.targets, home.retire
 
     async def settle(self, method: str, segments: list[str], body: bytes) -> Answer:
         match method, segments:
@@ -83,17 +119,17 @@
             case "GET", ["api", "configuration", "retrieve"]:
                 return await self._retrieve()
             case "POST", ["api", "retire", node, "initiate"]:
-                answer: Answer = await self._retire.initiate(node, body)
-                return answer
+                return await self._retire.initiate(node, body)
             case "GET", ["api", "retire", node, "retrieve"]:
-                told: Answer = await self._retire.retrieve(node)
-                return told
+                return await self._retire.retrieve(node)
             case _, ["api", "instances", _, "heartbeat" | "deregister"]:
                 return Answer.cause(405, "POST")
             case _:
                 return Answer.cause(404, "no such call")
 
     async def _beat(self, id: str, body: bytes) -> Answer:
+        if not self._home.reaches():
+            return Answer.cause(503, "this machine is cut off from the others")
         try:
             told = json.loads(body)
             target, news = self._targets.beat(id, told, asyncio.get_running_loop().time())
@@ -111,7 +147,7 @@
 
     async def _tell(self, target: Target, news: bool) -> None:
         """Spread what a target says; of what matters the others' word is waited for, but not for long."""
-        now, others = asyncio.get_running_loop().time(), self._others()
+        now, others = asyncio.get_running_loop().time(), self._home.other_stores()
         known = self._targets.known.get(target.id, target)
         told = known.told(now)
         if news:
@@ -131,12 +167,12 @@
 
     async def _retrieve(self) -> Answer:
         """The newest that stands: ours, once enough others have said that theirs is no newer."""
-        others: list[Peer] = self._others()
+        others: list[Peer] = self._home.other_stores()
         versions = await asyncio.gather(
             *(p.ask("version", None, READ) for p in others), return_exceptions=True
         )
         heard = [v for v in versions if isinstance(v, list)]
-        if not self._whole() or len(heard) < self._needed():
+        if not self._home.whole() or len(heard) < self._home.needed():
             return Answer.cause(503, "too few machines with a disk can be reached")
         if any(v[0] > self._cairn.newest for v in heard):
             return Answer.cause(503, "a newer one is on its way")
--- a/huts/trailhead/front.py
+++ b/huts/trailhead/front.py
@@ -66,7 +66,7 @@
     async def _take(self, told: dict[str, Any], reply: Reply) -> None:
         loop = asyncio.get_running_loop()
         began, unclear = loop.time(), False
-        stores, maybe = self._stores(), list[str]()
+        stores, maybe = [peer for peer in self._stores() if not peer.stuck], list[str]()
         for at, peer in enumerate(stores):
             left = began + IN_ALL - loop.time()
             if left <= 0.02:
--- a/tests/huts/test_pure.py
+++ b/tests/huts/test_pure.py
@@ -1,15 +1,20 @@
 """The machines that know no clock, no disk and no link."""
 
+import asyncio
 import itertools
 import json
+import math
 import random
 import tempfile
 from pathlib import Path
 
+import uvloop
 from expression import Result
 from ward import test
 
+from emberlatch.engine import Tasks
 from huts.cairn import WordFiles
+from huts.descent import Descent
 from huts.descent.carrier import Verdict, _verdict
 from huts.lookout import BadBeat, Target, Targets, TargetState
 from huts.rations import Ration
@@ -271,3 +276,30 @@
     copy = Record.read(made.told(101.0, made.body), 5001.0)
     assert (copy.due - 5001.0, copy.end - 5001.0, copy.version, copy.ended) == (3.0, 89.0, 7, 0.0)
     assert copy.fingerprint() == made.fingerprint()
+
+
+@test("a wake-up that is due already is one on every loop")
+def _() -> None:
+    async def scene() -> None:
+        descent = Descent(
+            "z",
+            Tasks(),
+            1,
+            lambda record, state, seal: None,
+            lambda id: None,
+            lambda: True,
+            lambda: 1,
+            (5.0, 1.1),
+            8,
+        )
+        now = asyncio.get_running_loop().time()
+        for at in (now - 1, now - 2, now + 5, now):
+            descent._wake_at(at)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert descent._wakes_at == math.inf
+
+    for make in (asyncio.new_event_loop, uvloop.new_event_loop):
+        loop = make()
+        loop.run_until_complete(scene())
+        loop.close()
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -258,3 +258,37 @@
     world, breaches = day(*faults, seconds=16.0, per_s=20.0)
     assert not breaches, str(breaches[:3])
     kept(world)
+
+
+@test("targets that report to a store that is cut off are sent on, and stay known to the others")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for other in ("s1", "s2"):
+            world.cut("s0", other, 9.0)
+        await asyncio.sleep(3.0)
+        body = b'{"service":"s","address":"10.0.0.1:80","zone":"z","capacity":2,"state":"in_service","sequence":1}'
+        path = "/api/instances/i-9/heartbeat"
+        answer = await ask((world.nodes["s0"].host, CONTROL), "POST", path, body, {"Host": "c"}, 2.0)
+        assert answer.status == 503
+        await asyncio.sleep(3.5)
+        assert all(t.live for n in ("s1", "s2") for t in world.nodes[n].hut.targets.known.values())
+
+    assert not play(Plan(33), scene)[1]
+
+
+@test("when no store answers any more, a forwarder says so at once and does not hold requests to their end")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for name in ("s0", "s1", "s2"):
+            world.nodes[name].process.stop()
+        first = [hand_in(day, "f0") for _ in range(3)]
+        await asyncio.gather(*first)
+        await asyncio.sleep(0.2)
+        sent = await hand_in(day, "f0")
+        assert sent.answer == 503 and sent.answered - sent.at < 0.05
+
+    assert not play(Plan(34), scene)[1]
