Copies stay in their zone where it has the machines; a service's messages go to few hands

Forwarders rank the stores of their zone by service (rendezvous hashing); the store whose turn a service is has four fifths of its zone's part of a limit. With one store a zone nothing changes.

--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -101,8 +101,8 @@
 
 class Descent:
     """See the module. `finish` takes an end, `wrong` an instance that is not where it was; `may_send` says
-    whether nobody else can hold what we hold; `parts` by how many a limit is shared; `window` is the rule of
-    limits: its seconds, and the excess that it allows."""
+    whether nobody else can hold what we hold; `parts` by how many a service's limit is shared; `window` is the
+    rule of limits: its seconds, and the excess that it allows."""
 
     def __init__(
         self,
@@ -112,7 +112,7 @@
         finish: Callable[[Record, State, str], None],
         wrong: Callable[[str], None],
         may_send: Callable[[], bool],
-        parts: Callable[[], int],
+        parts: Callable[[str], float],
         window: tuple[float, float],
         connections: int,
     ) -> None:
@@ -349,7 +349,7 @@
         ration = self._rations.get(service.name)
         if ration is None:
             ration = self._rations[service.name] = Ration(*self._window, now)
-        at = ration.room_at(now, service.rate_per_s, self._parts())
+        at = ration.room_at(now, service.rate_per_s, self._parts(service.name))
         if at > now and (queue.fresh or queue.late):
             self._wake_at(at + 0.001)
         return at <= now
@@ -450,7 +450,7 @@
         now = self._loop.time()
         if service is None or service.rate_per_s <= 0:
             return True
-        if ration.room_at(now, service.rate_per_s, self._parts()) > now:
+        if ration.room_at(now, service.rate_per_s, self._parts(service.name)) > now:
             return False
         ration.count()
         return True
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -17,7 +17,7 @@
 from huts.events import Event, say
 from huts.lookout import Target, Targets
 from huts.refuge import Keeper, Ledger, Phase, Record, Shelf, State, Stock
-from huts.register import Member, Roster
+from huts.register import Member, Roster, first, rank
 from huts.retire import Retirements
 from huts.rope import Peer, PeerState, RopeServer, Strand
 from huts.trailhead import Desk, Front, Gate, Ready
@@ -25,6 +25,7 @@
 from huts.waymark import Boot, Configuration
 
 LEFT_OUT = "left out"  # the name under which those that were counted out are noted
+MOST_OF_IT = 0.8  # share of a zone's part of a limit that the store has whose turn the service is
 ROSTER = "stores"  # the name under which the stores are noted on disk
 TAKE_STILL = (
     2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
@@ -57,6 +58,7 @@
         self._phases: dict[str, str] = {}
         self.stopping = False
         self._left: set[str] = set()
+        self._turn = 0
         self.retire = Retirements(boot.node, self.tasks, self)
         files = WordFiles(boot.data_dir / "word") if boot.stores and boot.data_dir else None
         self.cairn = Cairn(boot.node, files, offload, self.tasks, self.enough, self.other_stores)
@@ -131,15 +133,39 @@
         """Those of them that can be asked."""
         return [peer for peer in self.stores().values() if peer.up]
 
-    def near_stores(self) -> list[Peer]:
-        """The stores that take messages, those of our zone first."""
-        able = self.able_stores()
+    def near_stores(self, thing: str = "") -> list[Peer]:
+        """The stores that take messages, those of our zone first; of these the one whose turn a thing is, so
+        that what goes to one service is in few hands."""
         members = self.roster.members
-        mine = (self.boot.zone, self.boot.region)
-        return sorted(
-            able,
-            key=lambda p: (p.lagging, members[p.name].zone != mine[0], members[p.name].region != mine[1]),
-        )
+
+        def order(peer: Peer) -> tuple[bool, bool, bool, int]:
+            member = members[peer.name]
+            far, abroad = member.zone != self.boot.zone, member.region != self.boot.region
+            return peer.lagging, far, abroad, -rank(thing, peer.name)
+
+        return sorted(self.able_stores(), key=order)
+
+    def partners(self, have: set[str]) -> list[Peer]:
+        """The stores that may keep what these have, the best first: what is lacking of zones and regions,
+        else our own zone, for each body that leaves it is paid for."""
+        members, want = self.roster.members, self.boot.resilience
+        zones = {m.zone for n in have if (m := members.get(n)) is not None}
+        regions = {m.region for n in have if (m := members.get(n)) is not None}
+        new_zone, new_region = len(zones) <= want.zones, len(regions) <= want.regions
+        self._turn += 1
+        turn = str(self._turn)
+
+        def order(peer: Peer) -> tuple[bool, bool, bool, bool, int]:
+            member = members[peer.name]
+            return (
+                peer.lagging,
+                new_region and member.region in regions,
+                new_zone and member.zone in zones,
+                not new_zone and member.zone != self.boot.zone,
+                rank(turn, peer.name),
+            )
+
+        return sorted((p for p in self.able_stores() if p.name not in have), key=order)
 
     def serving(self, node: str) -> bool:
         """Whether a store said that it takes messages and copies."""
@@ -334,7 +360,8 @@
         limits = boot.memory_mb * 1e6, boot.disk_mb * 1e6
         stock = Stock(boot.node, shelf, ledger)
         keeper = self.keeper = Keeper(
-            stock, self.tasks, self.enough, self.current, self.stores, self.able_stores, limits,
+            stock, self.tasks, self.enough, self.current, self.stores, self.able_stores, self.partners,
+            limits,
             boot.bounds.status_keep_s,
         )  # fmt: skip
         keeper.repair.leaving = lambda: set(self.retire.marks)
@@ -375,9 +402,21 @@
         assert self.targets is not None
         self.targets.wrong(id, asyncio.get_running_loop().time())
 
-    def _parts(self) -> int:
-        """By how many a limit is shared: all that deliver, for the dead may have sent just now."""
-        return max(1, 1 + len(self.stores()))
+    def _parts(self, service: str) -> float:
+        """By how many a limit is shared, the dead among them, for they may have sent just now.
+
+        Of each zone one store has most of it, the one that the forwarders send the service's messages to; the
+        others of the zone, which have what they took over, share the rest.
+        """
+        stores = self.roster.stores()
+        zones = len({store.zone for store in stores})
+        mine = [store.node for store in stores if store.zone == self.boot.zone]
+        if len(mine) < 2:
+            return max(1, zones)
+        there = [n for n in mine if n == self.boot.node or n in self.current()]
+        if first(service, there) == self.boot.node:
+            return zones / MOST_OF_IT
+        return zones * (len(mine) - 1) / (1 - MOST_OF_IT)
 
     def needed(self) -> int:
         """Of how many others it has to be heard which configuration they have."""
--- a/huts/rations/ration.py
+++ b/huts/rations/ration.py
@@ -17,11 +17,11 @@
         self._span, self._excess = span, excess
         self._tokens, self._filled = 1.0, now
 
-    def _depth(self, rate: float, parts: int) -> float:
+    def _depth(self, rate: float, parts: float) -> float:
         """The tokens of this part; one more may be there from a start."""
         return max(1.0, (max(0.0, self._excess - 1) * rate * self._span + SPARE) / parts - 1)
 
-    def room_at(self, now: float, rate: float, parts: int) -> float:
+    def room_at(self, now: float, rate: float, parts: float) -> float:
         """When the next one may go; `now` if at once."""
         part = rate / max(1, parts)
         most = self._depth(rate, max(1, parts))
--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -32,8 +31,8 @@
 
 class Keeper:
     """`stores` are the other stores that count, by node; `known` all that were ever heard of; `able` those
-    that take copies; `enough` says whether these machines' disks bear what may be lost; `limits` are bytes of
-    memory and of disk."""
+    that take copies, `partners` the same for what some have, the best first; `enough` says whether these
+    machines' disks bear what may be lost; `limits` are bytes of memory and of disk."""
 
     def __init__(
         self,
@@ -43,17 +42,17 @@
         stores: Callable[[], dict[str, Peer]],
         known: Callable[[], dict[str, Peer]],
         able: Callable[[], list[Peer]],
+        partners: Callable[[set[str]], list[Peer]],
         limits: tuple[float, float],
         keep_s: float,
     ) -> None:
         self.stock, self.me = stock, stock.me
         self._tasks, self._enough, self._stores, self._known_stores = tasks, enough, stores, known
-        self._able = able
+        self._partners = partners
         self._memory, self._disk, self._keep_s = limits[0] * IN_MEMORY, limits[1] * ROOM, keep_s
-        self.repair = Repair(stock, tasks, known, able, enough)
+        self.repair = Repair(stock, tasks, known, able, partners, enough)
         self.holding = Holding(stock, self.repair, stores, able)
         self._taking: dict[str, asyncio.Future[dict[str, Any]]] = {}
-        self._turn = random.randrange(1000)
         self.full = False
         self.phase_changed: Callable[[Phase], None] = lambda _: None
 
@@ -173,13 +172,8 @@
         return {"ok": False, "clear": clear, "why": "no copy"}
 
     def _partner(self, but: set[str]) -> Peer | None:
-        """Another store for a copy, in turn; those that lag come last."""
-        able = sorted((p for p in self._able() if p.name not in but), key=lambda p: p.name)
-        if not able:
-            return None
-        self._turn += 1
-        able = able[self._turn % len(able) :] + able[: self._turn % len(able)]
-        return min(able, key=lambda p: p.lagging)
+        """Another store for a copy beside these."""
+        return next(iter(self._partners({self.me, *but})), None)
 
     async def _copies(self, record: Record, first: Peer | None) -> tuple[set[str], set[str]]:
         """Ask others to keep it until enough do: who does, and who may.
--- a/huts/refuge/repair.py
+++ b/huts/refuge/repair.py
@@ -29,10 +29,11 @@
         tasks: Tasks,
         stores: Callable[[], dict[str, Peer]],
         able: Callable[[], list[Peer]],
+        partners: Callable[[set[str]], list[Peer]],
         enough: Callable[[Iterable[str]], bool],
     ) -> None:
         self._stock, self._tasks = stock, tasks
-        self._stores, self._able, self._enough = stores, able, enough
+        self._stores, self._able, self._partners, self._enough = stores, able, partners, enough
         self.mended: dict[str, float] = {}
         self._mending: set[str] = set()
         self._spreading = False
@@ -138,14 +139,14 @@
         """Bring each of these to enough machines, of which only those counted are; how many got there."""
         by_peer: dict[str, list[Record]] = {}
         peers = {p.name: p for p in self._able()}
-        for at, record in enumerate(records):
+        for record in records:
             have = counted & set(record.keepers)
-            names = sorted(set(peers) - have)
-            for name in names[at % max(1, len(names)) :] + names[: at % max(1, len(names))]:
-                if self._enough(have):
+            while not self._enough(have):
+                peer = next((p for p in self._partners(have) if p.name in peers), None)
+                if peer is None:
                     break
-                have.add(name)
-                by_peer.setdefault(name, []).append(record)
+                have.add(peer.name)
+                by_peer.setdefault(peer.name, []).append(record)
         done = 0
         for name, theirs in by_peer.items():
             for part in parts(theirs, 100):
--- a/huts/retire/retirement.py
+++ b/huts/retire/retirement.py
@@ -174,7 +174,7 @@
             counted = {peer.name for peer in self._place.able_stores()}
             alone = keeper.repair.alone(counted)
             alone.sort(key=lambda record: not record.open)  # what has not ended goes first
-            await keeper.repair.copy_out(alone[:2000], counted)
+            await keeper.repair.copy_out(alone[:500], counted)
             left = keeper.repair.alone({peer.name for peer in self._place.able_stores()})
             return not (left or keeper.busy or keeper.stock.shelf.held(self._me))
         except Lost:
--- a/huts/trailhead/desk.py
+++ b/huts/trailhead/desk.py
@@ -152,7 +152,7 @@
         told = known.told(now)
         if news:
             await asyncio.gather(*(p.ask("target", told, SPREAD) for p in others), return_exceptions=True)
-        else:
+        elif known.sequence % 2:  # every other beat is enough for them
             for peer in others:
                 peer.tell("target", told)
 
--- a/huts/trailhead/front.py
+++ b/huts/trailhead/front.py
@@ -25,12 +25,13 @@
 
 
 class Front:
-    """`stores` gives the stores that take messages, the nearest first; `all_stores` all that can be asked."""
+    """`stores` gives the stores that take a service's messages, the best first; `all_stores` all that can be
+    asked."""
 
     def __init__(
         self,
         config: Callable[[], Configuration | None],
-        stores: Callable[[], list[Peer]],
+        stores: Callable[[str], list[Peer]],
         all_stores: Callable[[], list[Peer]],
         known: Callable[[], int],
     ) -> None:
@@ -61,12 +62,12 @@
             "content": headers.get("content-type", ""), "body": bytes(request.body), "age": 0.0,
             "delay": delay, "retention": float(route.retention_s), "version": config.revision, "tries": 0,
         }  # fmt: skip
-        await self._take(told, reply)
+        await self._take(told, route.service, reply)
 
-    async def _take(self, told: dict[str, Any], reply: Reply) -> None:
+    async def _take(self, told: dict[str, Any], service: str, reply: Reply) -> None:
         loop = asyncio.get_running_loop()
         began, unclear = loop.time(), False
-        stores, maybe = [peer for peer in self._stores() if not peer.stuck], list[str]()
+        stores, maybe = [peer for peer in self._stores(service) if not peer.stuck], list[str]()
         for at, peer in enumerate(stores):
             left = began + IN_ALL - loop.time()
             if left <= 0.02:
--- a/tests/huts/test_planted.py
+++ b/tests/huts/test_planted.py
@@ -125,7 +125,7 @@
 
 @test("a whole limit for each")
 def _() -> None:
-    with planted(Hut, "_parts", lambda self: 1):
+    with planted(Hut, "_parts", lambda self, service: 1.0):
         assert "CEILING" in rules(rate=4.0, per_s=60.0, seconds=10.0)
 
 
--- a/tests/huts/test_pure.py
+++ b/tests/huts/test_pure.py
@@ -288,7 +288,7 @@
             lambda record, state, seal: None,
             lambda id: None,
             lambda: True,
-            lambda: 1,
+            lambda service: 1.0,
             (5.0, 1.1),
             8,
         )
