--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -100,15 +100,17 @@
 
 
 class Descent:
-    """See the module. `finish` takes an end, `wrong` an instance that is not where it was; `may_send` says
-    whether nobody else can hold what we hold; `parts` by how many a service's limit is shared; `window` is the
-    rule of limits: its seconds, and the excess that it allows."""
+    """See the module. `ours` says whether this process holds a message; `finish` takes an end, `wrong` an
+    instance that is not where it was; `may_send` says whether nobody else can hold what we hold; `parts` by
+    how many a service's limit is shared; `window` is the rule of limits: its seconds, and the excess that it
+    allows."""
 
     def __init__(
         self,
         zone: str,
         tasks: Tasks,
         seed: int,
+        ours: Callable[[Record], bool],
         finish: Callable[[Record, State, str], None],
         wrong: Callable[[str], None],
         may_send: Callable[[], bool],
@@ -116,6 +118,7 @@
         window: tuple[float, float],
         connections: int,
     ) -> None:
+        self._ours = ours
         self._zone, self._finish, self._wrong = zone, finish, wrong
         self._may_send, self._parts, self._window = may_send, parts, window
         self._loop = asyncio.get_running_loop()
@@ -434,6 +437,8 @@
         if load is None or load.route is None:
             self._events.append(api.ClientGone(ref))
             return
+        if not self._ours(load.record):
+            return self._forget(load)
         service = load.route.service
         ration = self._rations.get(service)
         if not load.rationed and ration is not None and not self._paid(ration, service):
@@ -489,14 +494,14 @@
             return self._again(load, AGAIN[min(record.attempts - 1, len(AGAIN) - 1)])
         if verdict is Verdict.RUNNING:
             return self._again(load, RUNNING_AGAIN)
-        if self.closing or not record.open:
+        if self.closing or not self._ours(record):
             self._events.append(api.ClientGone(load.ref))
             return self._again(load, 0.0)
         self._move(load, Stage.OFFERED)  # the module tries again by itself
         self._loop.call_later(LONGEST_WAIT, self._turn_back, load, load.ref)
 
     def _again(self, load: Load, pause: float) -> None:
-        if not load.record.open:
+        if not self._ours(load.record):  # it ended, or another holds it, while a call was out
             return self._forget(load)
         load.tries = 0
         self._rest_until(load, self._loop.time() + pause)
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -373,8 +373,8 @@
         self.targets = Targets(boot.heartbeat_ms / 1000, self._target_changed)
         window = boot.bounds.origin_window_s, boot.bounds.origin_excess
         self.descent = Descent(
-            boot.zone, self.tasks, self._seed, self._finished, self._wrong, keeper.holding.in_touch,
-            self._parts, window, max(64, (boot.max_fds - 300) // 4),
+            boot.zone, self.tasks, self._seed, stock.ours, self._finished, self._wrong,
+            keeper.holding.in_touch, self._parts, window, max(64, (boot.max_fds - 300) // 4),
         )  # fmt: skip
         stock.deliverer = self.descent
 
--- a/huts/refuge/stock.py
+++ b/huts/refuge/stock.py
@@ -47,6 +47,10 @@
         """Whether what it holds is delivered here."""
         return self.phase is Phase.SERVING
 
+    def ours(self, record: Record) -> bool:
+        """Whether we hold it, and its bytes are here."""
+        return record.open and record.holder == self.me and record.body is not None
+
     def add(self, record: Record) -> None:
         """A record that was not there."""
         self.shelf.put(record)
--- a/tests/huts/support.py
+++ b/tests/huts/support.py
@@ -27,12 +27,14 @@
     assert not left, str(left[:3])
 
 
-async def hand_in(scene: Day, front: str = "f0", delay_ms: int = 0, body: bytes = b"x") -> Sent:
+async def hand_in(
+    scene: Day, front: str = "f0", delay_ms: int = 0, body: bytes = b"x", poison: str = ""
+) -> Sent:
     """One message, by one forwarder."""
     world = scene.world
     world.count += 1
     service, host, prefix = world.places[0]
-    sent = Sent(f"m{world.count}", world.loop.time(), delay_ms / 1000, service, body)
+    sent = Sent(f"m{world.count}", world.loop.time(), delay_ms / 1000, service, body, poison)
     world.history.sent[sent.id] = sent
     headers = {"Host": host, "Emberlatch-Attempt-Id": sent.id}
     if delay_ms:
--- a/tests/huts/test_pure.py
+++ b/tests/huts/test_pure.py
@@ -285,6 +285,7 @@
             "z",
             Tasks(),
             1,
+            lambda record: True,
             lambda record, state, seal: None,
             lambda id: None,
             lambda: True,
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -260,6 +260,30 @@
     kept(world)
 
 
+@test("a call that fails while another store has become the holder is not repeated here")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        for target in world.targets.values():
+            target.work = 0.2
+        sent = [await hand_in(day, f"f{n % 3}", poison="500") for n in range(6)]
+        for node in (n for n in world.nodes.values() if n.store):
+            keeper = node.hut.keeper
+            others = [n for n in ("s0", "s1", "s2") if n != node.name]
+            for record in keeper.stock.shelf.held(node.name):
+                heir = next(n for n in others if n in record.keepers)
+                word = [record.id, 0, "", record.epoch + 1, heir, 0]
+                await keeper.ended([word])
+                await world.nodes[heir].hut.keeper.ended([word])
+        await asyncio.sleep(25.0)
+        assert not [s.id for s in sent if len(world.history.runs[s.id]) > 5]
+        states = [world.nodes["s0"].hut.keeper.state_of(s.id) for s in sent]
+        assert ["dead_letter", ""] in states
+
+    assert not play(Plan(35), scene)[1]
+
+
 @test("targets that report to a store that is cut off are sent on, and stay known to the others")
 def _() -> None:
     async def scene(day: Day) -> None:
