--- a/huts/weather/play.py
+++ b/huts/weather/play.py
@@ -56,6 +56,9 @@
             faults.append(Fault(at, "bad configuration"))
         at += chance.uniform(0.2, 2.0)
     closing = chance.choice(("", "", "all kill", "all power", "wipe and power"))
+    lost = max((f.at + f.seconds for f in faults if f.who.startswith("s")), default=-9.0)
+    if closing == "wipe and power" and lost + 6.0 > seconds and not strange:
+        closing = "all power"  # one loss at a time is borne, and one lasts until the machine is whole again
     if closing:
         faults.append(Fault(seconds - 0.5, closing, f"s{chance.randrange(stores)}", chance.uniform(0.5, 1.5)))
     return Plan(
