--- a/huts/hut.py
+++ b/huts/hut.py
@@ -19,11 +19,12 @@
 from huts.refuge import Keeper, Ledger, Phase, Record, Shelf, State, Stock
 from huts.register import Member, Roster, first, rank
 from huts.retire import Retirements
-from huts.rope import Peer, PeerState, RopeServer, Strand
+from huts.rope import BEAT, Peer, PeerState, RopeServer, Strand
 from huts.trailhead import Desk, Front, Gate, Ready
 from huts.trailhead import desk as desks
 from huts.waymark import Boot, Configuration
 
+FEW = 6  # stores to which a forwarder tells as often as a store does that it is there
 LEFT_OUT = "left out"  # the name under which those that were counted out are noted
 MOST_OF_IT = 0.8  # share of a zone's part of a limit that the store has whose turn the service is
 ROSTER = "stores"  # the name under which the stores are noted on disk
@@ -218,6 +219,11 @@
             "roster": [m.told() for m in self.roster.members.values()],
         } | self.beat()
 
+    def every(self) -> float:
+        """Stores need to know soon that one of them is silent. Forwarders are many and go by answers that are
+        owed: what all of them ask a store in a second does not grow with the stores."""
+        return BEAT if self.boot.stores else BEAT * max(1.0, len(self.stores()) / FEW)
+
     def beat(self) -> dict[str, Any]:
         phase = self.keeper.phase.value if self.keeper is not None else None
         told = {"phase": phase, "word": self.cairn.told(), "stands": self.cairn.revision}
--- a/huts/refuge/holding.py
+++ b/huts/refuge/holding.py
@@ -11,7 +11,7 @@
 from huts.refuge.stock import Stock
 from huts.rope import Lost, Peer, PeerState
 
-LEASE = 2.4  # seconds of silence after which a holder has surely stopped (it stops after `Peer`'s SILENT)
+LEASE = 2.4  # seconds of silence after which a holder has surely stopped (it stops after a link's silence)
 DEAD = 0.25  # seconds for which a port has refused: its process has ended
 STALL = 0.7  # seconds for which this process stood still: others may have taken over since
 HAND = 1.0  # seconds for another store to take what is handed to it
--- a/huts/rope/__init__.py
+++ b/huts/rope/__init__.py
@@ -1,6 +1,6 @@
 """Frames and calls between the system's own processes."""
 
-from huts.rope.peer import Peer, PeerState
+from huts.rope.peer import BEAT, Peer, PeerState
 from huts.rope.strand import Lost, RopeServer, Strand
 
-__all__ = ["Lost", "Peer", "PeerState", "RopeServer", "Strand"]
+__all__ = ["BEAT", "Lost", "Peer", "PeerState", "RopeServer", "Strand"]
--- a/huts/rope/peer.py
+++ b/huts/rope/peer.py
@@ -10,8 +10,8 @@
 from huts.events import Event, say
 from huts.rope.strand import Lost, Serve, Strand
 
-BEAT = 0.4  # seconds between two questions whether the other side is there
-SILENT = 1.3  # seconds without a word after which a link is given up
+BEAT = 0.4  # seconds between two questions whether the other side is there, where nothing else is wished
+MISSED, SLACK = 2.0, 0.5  # a link is given up after so many beats, and so many seconds, without a word
 CONNECT = 0.6  # seconds for a connection to come up
 STUCK = 0.25  # seconds without an answer after which it is asked nothing that somebody waits for
 LAG = 0.1  # seconds without an answer after which others are preferred
@@ -36,6 +36,9 @@
     def greeted(self, peer: Peer, told: Any) -> None:
         """The answer to it."""
 
+    def every(self) -> float:
+        """Seconds between two such questions."""
+
     def beat(self) -> Any:
         """The question that keeps a link alive."""
 
@@ -161,16 +164,20 @@
             self.strand = None
             if not strand.closed:
                 strand.close()
-        silent = loop.time() - strand.heard > SILENT
+        silent = loop.time() - strand.heard > self._silent()
         self._become(PeerState.SILENT if silent else PeerState.DIALLING)
 
+    def _silent(self) -> float:
+        """Seconds without a word after which a link is given up."""
+        return MISSED * self._words.every() + SLACK
+
     async def _watch(self, strand: Strand, lost: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
-        while not strand.closed and loop.time() - strand.heard <= SILENT:
+        while not strand.closed and loop.time() - strand.heard <= self._silent():
             strand.ask("beat", self._words.beat()).add_done_callback(self._beaten)
             self.last_up = strand.heard
             try:
-                async with asyncio.timeout(BEAT):
+                async with asyncio.timeout(self._words.every()):
                     await lost.wait()
             except TimeoutError:
                 continue
