--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -34,6 +34,7 @@
 RUNNING_AGAIN = 0.15  # seconds until a first run that still went on is asked for again
 TURNED_BACK = 0.01  # seconds until a message without a lease is offered again
 NO_WAY = 0.1  # seconds until a message is looked at again for which no target is known
+OFFERED_FOR = 0.3  # seconds of a limit's part that the module may have before it at once
 ANSWER_SLACK = 0.15  # seconds after a delivery's time in which its answer may come in
 STOPPING = 0.8  # seconds before the grace ends at which what is out is given up
 
@@ -69,7 +70,6 @@
         self.ref = self.sends = 0  # its name at the module, and calls under that name
         self.route: Route | None = None
         self.destination = 0
-        self.rationed = False  # a token of its service's limit was taken for its next call
         self.tries = 0  # offers without a lease since it was ready
         self.verdict: Verdict | None = None
         self.seal = ""
@@ -264,10 +264,6 @@
     def _move(self, load: Load, stage: Stage) -> None:
         """The one place in which a message's stage changes."""
         held = (Stage.OFFERED, Stage.OUT)
-        if load.rationed and stage not in held:
-            load.rationed = False
-            if load.route is not None:
-                self._rations[load.route.service].refund()
         if load.stage in held and stage not in held:
             service, far = self._places[load.destination]
             self._queues[service].offered[far] -= 1
@@ -332,9 +328,6 @@
                 load = queue.pop(now)
                 if load is None:
                     break
-                load.rationed = service.rate_per_s > 0
-                if load.rationed:
-                    self._rations[name].count()
                 self._offer(load, queue, ways, now)
 
     def _ways(self, name: str) -> list[int]:
@@ -355,7 +348,8 @@
         at = ration.room_at(now, service.rate_per_s, self._parts(service.name))
         if at > now and (queue.fresh or queue.late):
             self._wake_at(at + 0.001)
-        return at <= now
+        few = 2 + int(OFFERED_FOR * service.rate_per_s / self._parts(service.name))
+        return at <= now and queue.offered[0] < few
 
     def _offer(self, load: Load, queue: Queue, ways: list[int], now: float) -> None:
         assert load.route is not None
@@ -441,9 +435,8 @@
             return self._forget(load)
         service = load.route.service
         ration = self._rations.get(service)
-        if not load.rationed and ration is not None and not self._paid(ration, service):
-            return self._refuse_call(load, target)  # a further call of this offer waits for its own token
-        load.rationed = False
+        if ration is not None and not self._paid(ration, service):
+            return self._refuse_call(load, target)
         self._move(load, Stage.OUT)
         guard = load.route.guard_timer_ms / 1000 + ANSWER_SLACK
         load.sends += 1
--- a/huts/rations/ration.py
+++ b/huts/rations/ration.py
@@ -30,9 +30,5 @@
         return now if self._tokens >= 1 else now + (1 - self._tokens) / part + 1e-6
 
     def count(self) -> None:
-        """One goes out, or is about to."""
+        """One goes out."""
         self._tokens -= 1
-
-    def refund(self) -> None:
-        """One that was about to has not gone out."""
-        self._tokens += 1
--- a/tests/huts/test_planted.py
+++ b/tests/huts/test_planted.py
@@ -16,6 +16,7 @@
 from huts.lookout import Targets
 from huts.refuge import Keeper, Record, State
 from huts.refuge.repair import Repair
+from huts.trailhead import front
 from huts.weather.play import Day
 from tests.huts.support import Fault, Plan, day, hand_in, play
 
@@ -48,10 +49,13 @@
     async def void(self: Keeper, record: Record, asked: set[str]) -> bool:
         return True
 
-    with planted(Keeper, "_void", void):
+    with planted(Keeper, "_void", void), planted(front, "STORE", 0.45):
 
         async def scene(day: Day) -> None:
             await day.start()
+            for name in ("s1", "s2"):
+                day.world.cut("f0", name, 30.0)
+            await asyncio.sleep(3.0)
             for name in ("s1", "s2"):
                 day.world.nodes[name].power_off(8.0)
             for _ in range(6):
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -5,7 +5,7 @@
 from ward import each, test
 
 from huts.refuge import Phase
-from huts.weather.actors import ask
+from huts.weather.actors import Clients, ask
 from huts.weather.mountain import CONTROL
 from huts.weather.play import Day
 from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, play, until
@@ -284,6 +284,31 @@
     assert not play(Plan(35), scene)[1]
 
 
+@test("a limit holds when its endpoint comes back to all that has waited for it")
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        world = day.world
+        assert await day.operator.send_raw(world.text(9, 8000)) == 200
+        outside = next(t for t in world.targets.values() if t.service == "outside")
+        outside.capacity, outside.queue = 60, 200
+        clients = [
+            asyncio.get_running_loop().create_task(Clients(world, z, 40.0).run(12.0))
+            for z in ("z0", "z1", "z2")
+        ]
+        await asyncio.sleep(2.0)
+        outside.crash()
+        await asyncio.sleep(6.0)
+        again = await world.add_target("outside", "z0", outside.address)
+        again.capacity, again.queue = 60, 200
+        await asyncio.gather(*clients)
+        await asyncio.sleep(8.0)
+        world.history.over("outside", 20.0, 5.0, 1.1)
+        assert len(world.history.arrivals["outside"]) > 200
+
+    assert "CEILING" not in {b.rule for b in play(Plan(36, rate=20.0), scene)[1]}
+
+
 @test("targets that report to a store that is cut off are sent on, and stay known to the others")
 def _() -> None:
     async def scene(day: Day) -> None:
