--- a/tests/huts/test_planted.py
+++ b/tests/huts/test_planted.py
@@ -46,7 +46,7 @@
 
 @test("a promise after an unclear write")
 def _() -> None:
-    async def void(self: Keeper, record: Record, asked: set[str]) -> bool:
+    async def void(self: Keeper, record: Record, asked: set[str], epoch: int) -> bool:
         return True
 
     with planted(Keeper, "_void", void), planted(front, "STORE", 0.45):
