--- a/huts/weather/mountain.py
+++ b/huts/weather/mountain.py
@@ -49,6 +49,7 @@
     per_s: float = 40.0
     seconds: float = 12.0
     poison: float = 0.02
+    losses: int = 1  # machines with a disk that may be lost at once
     rate: float = 0.0  # of the fixed endpoint; 0: there is none
     faults: tuple[Fault, ...] = field(default=())
 
@@ -105,7 +106,8 @@
             initial_start=self.lives == 0 and world.first, counted=self.store,
             data_dir=self.folder if self.store else None, listen=listen, memory_mb=300,
             max_fds=4000, disk_mb=400, heartbeat_ms=world.beat_s * 1000,
-            bounds=Bounds(grace_s=world.grace_s, origin_window_s=5.0), resilience=Resilience(),
+            bounds=Bounds(grace_s=world.grace_s, origin_window_s=5.0),
+            resilience=Resilience(machines=world.plan.losses),
         )  # fmt: skip
 
     @property
--- a/huts/weather/play.py
+++ b/huts/weather/play.py
@@ -25,7 +25,7 @@
 def draw(seed: int, strange: bool = False) -> Plan:
     """A drawn deployment and day; `strange` ones lose stores faster than the settings allow."""
     chance = random.Random(f"plan {seed}")
-    stores = chance.choice((3, 3, 3, 4, 5))
+    stores = chance.choice((3, 3, 3, 4, 5, 7, 9))
     fronts = chance.randrange(2, 7)
     seconds = chance.uniform(8.0, 16.0)
     faults, at = list[Fault](), 1.0
@@ -64,6 +64,7 @@
     return Plan(
         seed, zones=chance.choice((1, 2, 3)), fronts=fronts, stores=stores, targets=chance.randrange(2, 9),
         per_s=chance.uniform(10, 50), seconds=seconds, poison=chance.choice((0.0, 0.02, 0.1)),
+        losses=2 if stores >= 5 and chance.random() < 0.5 else 1,
         rate=chance.choice((0.0, 0.0, 6.0, 20.0)), faults=tuple(faults),
     )  # fmt: skip
 
