--- /dev/null
+++ b/huts/guide/batch.py
@@ -0,0 +1,37 @@
+"""Handing a file in as a batch, a message a line."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from huts.caravan import Caravan, Progress
+
+
+def send(file: Path, to: str, fronts: list[str], per_s: float, progress: Path | None) -> int:
+    """0 if all were completed; 1 if some were not; 2 if the words are off."""
+    host, slash, path = to.partition("/")
+    addresses = [(h, int(p)) for h, _, p in (front.rpartition(":") for front in fronts) if p.isdigit()]
+    if not host or not slash or len(addresses) < max(1, len(fronts)) or per_s <= 0:
+        print(
+            "huts batch: wanted: HOST/PATH, HOST:PORT of forwarders, a rate over 0",
+            file=sys.stderr,
+        )
+        return 2
+    try:
+        bodies = file.read_bytes().splitlines()
+    except OSError as error:
+        print(f"{file}:0: can't be read: {error.strerror}", file=sys.stderr)
+        return 2
+    kept = Progress(progress or file.with_name(file.name + ".progress"))
+    caravan = Caravan(file.stem, bodies, host, slash + path, addresses, kept)
+    print(f"{len(bodies)} messages, {dict(caravan.counts())}")
+    asyncio.run(caravan.work(per_s))
+    kept.close()
+    counts = caravan.counts()
+    print(dict(counts))
+    for item in caravan.items:
+        if item.step.value not in ("completed",):
+            print(f"line {item.number + 1}: {item.step.value} under {item.id}")
+    return 0 if counts["completed"] == len(bodies) else 1
--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from huts.guide import checks, disk, trying, weather
+from huts.guide import batch, checks, disk, trying, weather
 
 
 @cappa.command(name="check", help="Check a settings file (.toml) or an operator's configuration (.json).")
@@ -78,12 +78,27 @@
         )
 
 
+@cappa.command(name="batch", help="Hand a file in, a message a line; goes on where an earlier call stopped.")
+@dataclass
+class Batch:
+    """Exit code 0 if all were delivered, 1 if some were not."""
+
+    file: Annotated[Path, cappa.Arg(help="the messages")]
+    to: Annotated[str, cappa.Arg(long=True, help="HOST/PATH of the route")]
+    front: Annotated[list[str], cappa.Arg(long=True, help="HOST:PORT of a forwarder; may be given again")]
+    per_s: Annotated[float, cappa.Arg(long="--per-s", help="messages a second at most")] = 20.0
+    progress: Annotated[Path | None, cappa.Arg(long=True, help="where to keep how far it is")] = None
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=batch.send(self.file, self.to, self.front, self.per_s, self.progress))
+
+
 @cappa.command(name="huts", help="A whole ingest and dispatch service.")
 @dataclass
 class Huts:
     """The commands."""
 
-    command: cappa.Subcommands[Check | Events | StateOf | Try | Weather]
+    command: cappa.Subcommands[Batch | Check | Events | StateOf | Try | Weather]
 
 
 def main() -> None:
