Members: only news of stores is told, lists are compared by a digest; tally of frames

Change: lists hold stores alone; what is new goes on once, gathered for 0.1 s; each beat carries a digest of the list, and who has another one asks. Seeds are dialled for 10 s: whoever answers first may know a part only (a cluster of nine fell into three islands when it dropped them). A forgotten life is not brought back. Forwarders are members while they speak.

--- a/huts/hut.py
+++ b/huts/hut.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -19,7 +20,7 @@
 from huts.refuge import Keeper, Ledger, Phase, Record, Shelf, State, Stock
 from huts.register import Member, Roster, first, rank
 from huts.retire import Retirements
-from huts.rope import BEAT, Peer, PeerState, RopeServer, Strand
+from huts.rope import BEAT, Lost, Peer, PeerState, RopeServer, Strand, Tally
 from huts.trailhead import Desk, Front, Gate, Ready
 from huts.trailhead import desk as desks
 from huts.waymark import Boot, Configuration
@@ -31,6 +32,9 @@
 TAKE_STILL = (
     2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
 )
+SEEDED = 10.0  # seconds from the start for which all seeds are dialled
+ASK_AGAIN = 1.5  # seconds between two questions for the list of stores
+GATHER = 0.1  # seconds for which news of stores are gathered before they are passed on
 LEFT = 6.0  # seconds of silence after which a store counts no more among those that must agree
 FORGOTTEN = 120.0  # seconds after which it is dialled no more
 
@@ -47,7 +51,7 @@
         seed: int,
         failed: Callable[[OSError], None],
     ) -> None:
-        self.boot, self.machine, self.tasks = boot, machine, Tasks()
+        self.boot, self.machine, self.tasks, self.tally = boot, machine, Tasks(), Tally()
         self._offload, self._seed, self._failed = offload, seed, failed
         control = boot.listen.get("control")
         self.me = Member(
@@ -58,6 +62,9 @@
         self._peers: dict[tuple[str, int], Peer] = {}
         self._phases: dict[str, str] = {}
         self.stopping = False
+        self._began = asyncio.get_running_loop().time()
+        self._asked = -1e9  # when it last asked for a list of stores
+        self._untold: dict[str, Member] = {}  # stores of which the others are to hear
         self._left: set[str] = set()
         self._turn = 0
         self.retire = Retirements(boot.node, self.tasks, self)
@@ -173,51 +180,68 @@
         return self._phases.get(node) == Phase.SERVING.value
 
     def _dial(self) -> None:
-        """Keep a link to each store; to the seeds as long as none is known."""
+        """Keep a link to each store; to the seeds for a while, or as long as none is known: the first that
+        answers may know only part of the others."""
         wanted = {(m.ip, m.port): m.node for m in self.roster.stores() if m.node != self.boot.node}
-        if len(wanted) < 1 + (not self.boot.stores) or not any(p.up for p in self._peers.values()):
+        young = asyncio.get_running_loop().time() - self._began < SEEDED
+        if young or len(wanted) < 1 + (not self.boot.stores) or not any(p.up for p in self._peers.values()):
             for host, _ in self.boot.seeds:
                 if host != self.boot.ip:
                     wanted.setdefault((host, self.boot.inner_port), f"seed {host}")
         for address, name in wanted.items():
             peer = self._peers.get(address)
             if peer is None:
-                self._peers[address] = Peer(name, address, self.serve, self.tasks, self)
+                self._peers[address] = Peer(name, address, self.serve, self.tasks, self, self.tally)
             elif not name.startswith("seed "):
                 peer.name = name
         for address in [a for a in self._peers if a not in wanted]:
             self._peers.pop(address).close()
 
     def _members(self, told: Any, peer: Peer | Strand | None) -> None:
-        """What another process says of itself and of all that it knows."""
-        news = False
-        for item in told["roster"]:
-            member = Member.read(item)
-            if self.roster.add(member):
-                news = True
-                say(Event.MEMBER_NEW, member.node, member.ip, f"life={member.life}")
-        speaker = Member.read(told["me"])
-        news = self.roster.add(speaker) or news
+        """What another process says of itself and of the stores that it knows."""
+        told_of, speaker = [Member.read(item) for item in told["roster"]], Member.read(told["me"])
+        news = [m for m in (*told_of, speaker) if self.roster.add(m) and m.store]
         self.roster.renew(speaker.node, asyncio.get_running_loop().time())
         if peer is not None:
             peer.name = speaker.node
         if told.get("phase") is not None:
             self._phases[speaker.node] = told["phase"]
-        if news:
-            self._dial()
-            if self.keeper is not None:
-                self.keeper.stock.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
-                self.keeper.stock.ledger.settle()
-            for other in self._peers.values():
-                other.tell("members", self.hello())
+        if not news:
+            return
+        for member in news:
+            say(Event.MEMBER_NEW, member.node, member.ip, f"life={member.life}")
+        self._dial()
+        if self.keeper is None:
+            return
+        self.keeper.stock.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
+        self.keeper.stock.ledger.settle()
+        if not self._untold:
+            asyncio.get_running_loop().call_later(GATHER, self._tell_members)
+        self._untold.update((m.node, m) for m in news)
+
+    def _tell_members(self) -> None:
+        """Pass on what is new of the stores: only that, and what came within a moment in one piece."""
+        news, self._untold = self._untold, {}
+        told = self._roster_told() | {"roster": [m.told() for m in news.values()]}
+        for peer in self.other_stores():
+            peer.tell("members", told)
+        for strand in list(self._rope.strands):
+            member = self.roster.members.get(strand.name)
+            if member is not None and not member.store:
+                strand.tell("members", told)
 
     # What is said on links by itself.
 
     def hello(self) -> dict[str, Any]:
-        return {
-            "me": self.me.told(),
-            "roster": [m.told() for m in self.roster.members.values()],
-        } | self.beat()
+        return self.beat() | self._roster_told()
+
+    def _roster_told(self) -> dict[str, Any]:
+        known = self.roster.stores() if self.boot.stores else []
+        return {"me": self.me.told(), "roster": [m.told() for m in known]}
+
+    async def _ask_roster(self, peer: Peer) -> None:
+        with contextlib.suppress(Lost):  # the next beat says again that the lists differ
+            self._members(await peer.ask("roster", None, 1.0), peer)
 
     def every(self) -> float:
         """Stores need to know soon that one of them is silent. Forwarders are many and go by answers that are
@@ -227,6 +251,7 @@
     def beat(self) -> dict[str, Any]:
         phase = self.keeper.phase.value if self.keeper is not None else None
         told = {"phase": phase, "word": self.cairn.told(), "stands": self.cairn.revision}
+        told["stores"] = self.roster.digest()
         return told | ({"retire": self.retire.told()} if self.retire.marks else {})
 
     def greeted(self, peer: Peer, told: Any) -> None:
@@ -244,6 +269,14 @@
         if told["phase"] is not None:
             self._phases[peer.name] = told["phase"]
             self.cairn.meet(peer, told["word"], told["stands"])
+            self._compare_lists(peer, told.get("stores"))
+
+    def _compare_lists(self, peer: Peer, digest: Any) -> None:
+        """Whoever has another list of stores is asked for it, now and then."""
+        now = asyncio.get_running_loop().time()
+        if isinstance(digest, int) and digest != self.roster.digest() and now - self._asked > ASK_AGAIN:
+            self._asked = now
+            self.tasks.spawn(self._ask_roster(peer))
 
     def changed(self, peer: Peer) -> None:
         if not peer.up:
@@ -273,6 +306,8 @@
             case "hello":
                 self._members(payload, strand)
                 return self.hello()
+            case "roster":
+                return self._roster_told()
             case "members":
                 return self._members(payload, None)
             case "news":
@@ -332,7 +367,7 @@
         boot, loop = self.boot, asyncio.get_running_loop()
         if boot.stores:
             self._make_store()
-        self._rope = RopeServer(self.machine, (boot.ip, boot.inner_port), self.serve, self.tasks)
+        self._rope = RopeServer(self.machine, (boot.ip, boot.inner_port), self.serve, self.tasks, self.tally)
         self._dial()
         most = max(16, (boot.max_fds - 300) // 2)
         if "front" in boot.listen:
@@ -394,6 +429,7 @@
             assert self.targets is not None and self.descent is not None
             self.targets.tick(loop.time())
             self._count_out(loop.time())
+            self.roster.lapse(loop.time() - FORGOTTEN)
             self.descent.poke()
 
     def _target_changed(self, target: Target) -> None:
--- a/huts/register/roster.py
+++ b/huts/register/roster.py
@@ -8,6 +8,7 @@
 
 from dataclasses import asdict, dataclass
 from typing import Any
+from zlib import crc32
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,15 +51,18 @@
         self.me = me
         self.members: dict[str, Member] = {me.node: me}
         self._heard: dict[str, float] = {}
+        self._gone: dict[str, int] = {}  # lives that are over, so that late news do not bring them back
+        self._digest: int | None = None
 
     def add(self, member: Member) -> bool:
         """Take note of one; whether anything is new."""
         known = self.members.get(member.node)
         if member.node == self.me.node or (known is not None and known.life >= member.life):
             return False
-        if known is None and len(self.members) >= MOST:
+        if known is None and (len(self.members) >= MOST or self._gone.get(member.node, -1) >= member.life):
             return False
         self.members[member.node] = member
+        self._digest = None
         return True
 
     def renew(self, node: str, now: float) -> None:
@@ -68,9 +72,20 @@
 
     def remove(self, node: str) -> None:
         """It has left for good."""
-        if node != self.me.node:
-            self.members.pop(node, None)
+        member = self.members.get(node)
+        if member is not None and node != self.me.node:
+            del self.members[node]
             self._heard.pop(node, None)
+            self._digest = None
+            if member.store and len(self._gone) < MOST:
+                self._gone[node] = member.life
+
+    def lapse(self, before: float) -> None:
+        """Forwarders that have not spoken since then are members no more; stores go by the word of their
+        peers, for what they hold has to be found again."""
+        for node, member in list(self.members.items()):
+            if not member.store and node != self.me.node and self._heard.get(node, -1e9) < before:
+                self.remove(node)
 
     def leased(self, now: float, lease: float) -> list[Member]:
         """Those whose lease is running, ourselves among them."""
@@ -81,3 +96,9 @@
     def stores(self) -> list[Member]:
         """All that keep state, by name."""
         return sorted((m for m in self.members.values() if m.store), key=lambda m: m.node)
+
+    def digest(self) -> int:
+        """Of the stores and their lives: whoever has another one lacks something, or knows more."""
+        if self._digest is None:
+            self._digest = crc32(" ".join(f"{m.node}/{m.life}" for m in self.stores()).encode())
+        return self._digest
--- a/huts/rope/__init__.py
+++ b/huts/rope/__init__.py
@@ -2,5 +2,6 @@
 
 from huts.rope.peer import BEAT, Peer, PeerState
 from huts.rope.strand import Lost, RopeServer, Strand
+from huts.rope.tally import Tally
 
-__all__ = ["BEAT", "Lost", "Peer", "PeerState", "RopeServer", "Strand"]
+__all__ = ["BEAT", "Lost", "Peer", "PeerState", "RopeServer", "Strand", "Tally"]
--- a/huts/rope/peer.py
+++ b/huts/rope/peer.py
@@ -9,6 +9,7 @@
 from emberlatch.engine import Tasks
 from huts.events import Event, say
 from huts.rope.strand import Lost, Serve, Strand
+from huts.rope.tally import Tally
 
 BEAT = 0.4  # seconds between two questions whether the other side is there, where nothing else is wished
 MISSED, SLACK = 2.0, 0.5  # a link is given up after so many beats, and so many seconds, without a word
@@ -59,9 +60,10 @@
         serve: Serve,
         tasks: Tasks,
         words: Words,
+        tally: Tally,
     ) -> None:
         self.name, self.address = name, address
-        self._serve, self._tasks, self._words = serve, tasks, words
+        self._serve, self._tasks, self._words, self._tally = serve, tasks, words, tally
         self.state = PeerState.DIALLING
         self.since = asyncio.get_running_loop().time()  # of the present state
         self.began = self.since
@@ -142,7 +144,7 @@
         try:
             async with asyncio.timeout(CONNECT):
                 _, strand = await loop.create_connection(
-                    lambda: Strand(self._serve, self._tasks, self.name), *self.address
+                    lambda: Strand(self._serve, self._tasks, self._tally, self.name), *self.address
                 )
         except ConnectionRefusedError:
             return self._become(PeerState.REFUSED)
--- a/huts/rope/strand.py
+++ b/huts/rope/strand.py
@@ -17,6 +17,7 @@
 from emberlatch.engine import Machine, Tasks
 from emberlatch.net.accept import Acceptor
 from huts.events import Event, say
+from huts.rope.tally import Tally
 
 MOST_FRAME = 8 * 1024 * 1024  # bytes
 MOST_ASKED = 20_000  # questions of one connection that have no answer yet
@@ -39,8 +40,8 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, serve: Serve, tasks: Tasks, name: str = "?") -> None:
-        self.name, self._serve, self._tasks = name, serve, tasks
+    def __init__(self, serve: Serve, tasks: Tasks, tally: Tally, name: str = "?") -> None:
+        self.name, self._serve, self._tasks, self._tally = name, serve, tasks, tally
         self._buffer = bytearray()
         self._number = 0
         self._asked: dict[int, asyncio.Future[Any]] = {}
@@ -83,7 +84,7 @@
         self._asked[number] = future
         self._since[number] = asyncio.get_running_loop().time()
         future.add_done_callback(lambda _: self._asked.pop(number, None))
-        self._write([ASK, number, method, payload])
+        self._write([ASK, number, method, payload], method)
         return future
 
     def lag(self) -> float:
@@ -94,10 +95,11 @@
     def tell(self, method: str, payload: Any) -> None:
         """Tell, and want no answer."""
         if not self.closed:
-            self._write([TELL, method, payload])
+            self._write([TELL, method, payload], method)
 
-    def _write(self, frame: list[Any]) -> None:
+    def _write(self, frame: list[Any], about: str) -> None:
         data = cbor2.dumps(frame)
+        self._tally.count(self.name, about, 4 + len(data))
         if not self._out:  # what is written in one turn leaves in one piece
             asyncio.get_running_loop().call_soon(self._flush)
         self._out.append(len(data).to_bytes(4, "big"))
@@ -153,11 +155,13 @@
             answer = self._serve(self, method, payload)
         except Exception as error:
             say(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
-            return self._write([FAILED, number, repr(error)[:200]]) if number is not None else None
+            if number is not None:
+                self._write([FAILED, number, repr(error)[:200]], f"={method}")
+            return
         if inspect.iscoroutine(answer):
             self._tasks.spawn(self._later(number, method, answer))
         elif number is not None:
-            self._write([ANSWER, number, answer])
+            self._write([ANSWER, number, answer], f"={method}")
 
     async def _later(self, number: int | None, method: str, answer: Coroutine[Any, Any, Any]) -> None:
         try:
@@ -166,22 +170,24 @@
             if not isinstance(error, Lost):
                 say(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
             if number is not None and not self.closed:
-                self._write([FAILED, number, repr(error)[:200]])
+                self._write([FAILED, number, repr(error)[:200]], f"={method}")
             return
         if number is not None and not self.closed:
-            self._write([ANSWER, number, told])
+            self._write([ANSWER, number, told], f"={method}")
 
 
 class RopeServer:
     """Listens for other processes."""
 
-    def __init__(self, machine: Machine, address: tuple[str, int], serve: Serve, tasks: Tasks) -> None:
-        self._serve, self._tasks = serve, tasks
+    def __init__(
+        self, machine: Machine, address: tuple[str, int], serve: Serve, tasks: Tasks, tally: Tally
+    ) -> None:
+        self._serve, self._tasks, self._tally = serve, tasks, tally
         self.strands: set[Strand] = set()
         self._acceptor = Acceptor(machine.listen(address), self._make, tasks)
 
     def _make(self) -> Strand:
-        strand = Strand(self._serve, self._tasks)
+        strand = Strand(self._serve, self._tasks, self._tally)
         self.strands.add(strand)
         strand.gone = lambda: self.strands.discard(strand)
         return strand
--- /dev/null
+++ b/huts/weather/growth.py
@@ -0,0 +1,77 @@
+"""What a cluster of some size costs while nothing happens but beats, a start and a new configuration."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from huts.weather.mountain import Mountain, Plan
+from huts.weather.play import Day, play
+
+CALM = 10.0  # seconds that are measured
+
+
+@dataclass
+class Growth:
+    """Frames and bytes a second, of all processes together; `over` only what crosses a zone's border."""
+
+    forwarders: int
+    stores: int
+    start_over: float = 0.0  # bytes over borders until all were ready
+    frames: float = 0.0
+    over: float = 0.0
+    most_frames: float = 0.0  # of the process that sends most
+    known_s: float = 0.0  # from a configuration's sending until it is in force everywhere
+    cpu_s: float = 0.0  # processor seconds of this simulation for each simulated second
+    methods: Counter[str] = field(default_factory=Counter)  # bytes over borders by method
+
+
+def measure(forwarders: int, stores: int, zones: int = 3, targets: int = 10, seed: int = 1) -> Growth:
+    """Play it."""
+    found = Growth(forwarders, stores)
+    plan = Plan(seed, zones=zones, fronts=forwarders, stores=stores, targets=targets)
+
+    async def scene(day: Day) -> None:
+        world, loop = day.world, day.world.loop
+        await day.start()
+        found.start_over = sum(_over(world).values())
+        before, frames, cpu = _over(world), _frames(world), time.process_time()
+        began = loop.time()
+        await asyncio.sleep(CALM)
+        found.cpu_s = (time.process_time() - cpu) / CALM
+        after = _frames(world)
+        found.frames = sum(after.values()) / CALM - sum(frames.values()) / CALM
+        found.most_frames = max((after[n] - frames[n]) / CALM for n in after)
+        found.methods = Counter({m: n - before.get(m, 0) for m, n in _over(world).items()})
+        found.over = sum(found.methods.values()) / CALM
+        began = loop.time()
+        sending = loop.create_task(day.operator.send(9))
+        while any(n.hut is not None and n.hut.cairn.revision < 9 for n in world.nodes.values()):
+            await asyncio.sleep(0.01)
+            assert loop.time() < began + 20, "a configuration did not get everywhere"
+        found.known_s = loop.time() - began
+        await sending
+
+    _, breaches = play(plan, scene)
+    assert not breaches, str(breaches[0])
+    return found
+
+
+def _over(world: Mountain) -> Counter[str]:
+    """Bytes over borders by method, since the start."""
+    sums: Counter[str] = Counter()
+    for node in world.nodes.values():
+        if node.hut is not None:
+            far = {n.name for n in world.nodes.values() if n.zone != node.zone}
+            for method, (_, size) in node.hut.tally.over(far.__contains__).items():
+                sums[method] += size
+    return sums
+
+
+def _frames(world: Mountain) -> dict[str, int]:
+    huts = ((name, node.hut) for name, node in world.nodes.items())
+    return {
+        name: sum(frames for frames, _ in hut.tally.sent.values()) for name, hut in huts if hut is not None
+    }
--- a/tests/huts/support.py
+++ b/tests/huts/support.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from huts.refuge import Record, State
@@ -27,6 +29,17 @@
     assert not left, str(left[:3])
 
 
+@contextmanager
+def planted(where: Any, name: str, bug: Any) -> Iterator[None]:
+    """For a while a name in the code stands for something wrong."""
+    sound = getattr(where, name)
+    setattr(where, name, bug)
+    try:
+        yield
+    finally:
+        setattr(where, name, sound)
+
+
 async def hand_in(
     scene: Day, front: str = "f0", delay_ms: int = 0, body: bytes = b"x", poison: str = ""
 ) -> Sent:
@@ -73,4 +86,16 @@
         await asyncio.sleep(0.01)
 
 
-__all__ = ["Fault", "Plan", "State", "day", "hand_in", "kept", "on_disk", "play", "record", "until"]
+__all__ = [
+    "Fault",
+    "Plan",
+    "State",
+    "day",
+    "hand_in",
+    "kept",
+    "on_disk",
+    "planted",
+    "play",
+    "record",
+    "until",
+]
--- /dev/null
+++ b/tests/huts/test_members.py
@@ -0,0 +1,82 @@
+"""Who is there: found from three seeds, told to all, forgotten for good; and what that costs as a cluster grows."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ward import test
+
+from huts.hut import Hut
+from huts.register import Member, Roster
+from huts.weather.growth import measure
+from huts.weather.play import Day
+from tests.huts.support import Plan, planted, play, until
+
+ME = Member("a", "10.0.0.1", 7300, "z0", "r", True, True, "", 5)
+
+
+def lists(scene: Day) -> set[int]:
+    return {n.hut.roster.digest() for n in scene.world.nodes.values() if n.up and n.hut is not None}
+
+
+@test("nine stores and twelve forwarders that know three seeds all find each other")
+def _() -> None:
+    async def scene(scene: Day) -> None:
+        await scene.start()
+        for node in scene.world.nodes.values():
+            assert node.hut is not None
+            assert len(node.hut.stores()) == 9 - node.store, node.name
+            assert node.hut.cairn.revision == scene.revision, node.name
+
+    play(Plan(3, fronts=12, stores=9), scene)
+
+
+@test("a store that is added is known to every forwarder a second later, though nobody tells it twice")
+def _() -> None:
+    async def scene(scene: Day) -> None:
+        await scene.start()
+        scene.world.add_store("late", "z1")
+        forwarders = [n.hut for n in scene.world.nodes.values() if not n.store and n.hut is not None]
+        await until(lambda: all("late" in hut.stores() for hut in forwarders), 1.5)
+
+    play(Plan(4, fronts=9, stores=6), scene)
+
+
+@test("news of a store that got lost on their way are asked for, since lists of stores are compared")
+def _() -> None:
+    async def scene(scene: Day) -> None:
+        await scene.start()
+        scene.world.add_store("late", "z1")
+        await until(lambda: len(lists(scene)) == 1, 6.0)
+
+    with planted(Hut, "_tell_members", lambda self: None):
+        play(Plan(5, fronts=6, stores=6), scene)
+
+
+@test("a life that was forgotten is not brought back by late news; a later life of it is a new member")
+def _() -> None:
+    roster, other = Roster(ME), replace(ME, node="b", life=7)
+    assert roster.add(other) and roster.digest() != Roster(ME).digest()
+    roster.remove("b")
+    assert not roster.add(other) and roster.digest() == Roster(ME).digest()
+    assert roster.add(replace(other, life=8))
+
+
+@test("a forwarder is a member while it renews its lease, a store until it is forgotten")
+def _() -> None:
+    roster = Roster(ME)
+    for node, store in (("f", False), ("s", True)):
+        roster.add(replace(ME, node=node, store=store))
+        roster.renew(node, 10.0)
+    roster.lapse(9.0)
+    assert set(roster.members) == {"a", "f", "s"}
+    roster.lapse(11.0)
+    assert set(roster.members) == {"a", "s"}
+
+
+@test("what a start costs over zones' borders grows with pairs of processes, not with lists times pairs")
+def _() -> None:
+    small, large = measure(6, 6), measure(24, 12)
+    pairs = [f * s + s * s for f, s in ((6, 6), (24, 12))]
+    assert large.start_over / small.start_over < 3 * pairs[1] / pairs[0], (small, large)
+    assert large.known_s < 1.0
--- a/tests/huts/test_planted.py
+++ b/tests/huts/test_planted.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any
 
 from ward import test
@@ -18,17 +16,7 @@
 from huts.refuge.repair import Repair
 from huts.trailhead import front
 from huts.weather.play import Day
-from tests.huts.support import Fault, Plan, day, hand_in, play
-
-
-@contextmanager
-def planted(where: Any, name: str, bug: Any) -> Iterator[None]:
-    sound = getattr(where, name)
-    setattr(where, name, bug)
-    try:
-        yield
-    finally:
-        setattr(where, name, sound)
+from tests.huts.support import Fault, Plan, day, hand_in, planted, play
 
 
 def rules(*faults: Fault, **more: Any) -> set[str]:
