Three copies are three, and name each other from their writing on

Of two copies that were asked for, the answer of one made the taker ask a further store at once (four copies where three are owed), and a copy named only those that had been asked before it, so that two copies never had the same digests.

--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -124,12 +124,12 @@
             return {"ok": False, "clear": known is None, "why": "full"}
         if self._disk_lags():
             return {"ok": False, "clear": known is None, "why": "its disk stands still"}
-        partner = self._partner(set())
-        if (partner is None or partner.lagging) and not self._enough([self.me]):
-            return {"ok": False, "clear": known is None, "why": "no other store answers"}
+        partners = self._chosen()
+        if not self._enough([self.me, *(p.name for p in partners if not p.lagging)]):
+            return {"ok": False, "clear": known is None, "why": "too few other stores answer"}
         taking = self._taking[id] = asyncio.get_running_loop().create_future()
         try:
-            answer = await self._take(told, epoch, known)
+            answer = await self._take(told, epoch, known, partners)
             taking.set_result(answer)
         finally:
             del self._taking[id]
@@ -151,12 +151,13 @@
         self.stock.add(record)
         return record
 
-    async def _take(self, told: dict[str, Any], epoch: int, known: Record | None) -> dict[str, Any]:
-        first = self._partner(set())
-        record = self._written(told, epoch, known, [first.name] if first is not None else [])
+    async def _take(
+        self, told: dict[str, Any], epoch: int, known: Record | None, partners: list[Peer]
+    ) -> dict[str, Any]:
+        record = self._written(told, epoch, known, [peer.name for peer in partners])
         own = self.stock.standing()
         claimed = self._claim(record, told.get("maybe") or [])
-        (have, asked), _ = await asyncio.gather(self._copies(record, first), claimed)
+        (have, asked), _ = await asyncio.gather(self._copies(record, partners), claimed)
         await own
         if self._enough([self.me, *have]) and not record.open and record.state is not State.VOID:
             return {"ok": True, "clear": False, "why": "ended"}
@@ -175,7 +176,18 @@
         """Another store for a copy beside these."""
         return next(iter(self._partners({self.me, *but})), None)
 
-    async def _copies(self, record: Record, first: Peer | None) -> tuple[set[str], set[str]]:
+    def _chosen(self) -> list[Peer]:
+        """The stores that are to have copies. All are known before the first is written, so that each copy
+        names the others, and copies compared with each other are alike from the start."""
+        chosen: dict[str, Peer] = {}
+        while not self._enough([self.me, *chosen]):
+            peer = self._partner(set(chosen))
+            if peer is None:
+                break
+            chosen[peer.name] = peer
+        return list(chosen.values())
+
+    async def _copies(self, record: Record, chosen: list[Peer]) -> tuple[set[str], set[str]]:
         """Ask others to keep it until enough do: who does, and who may.
 
         Whoever has not answered soon is not waited for alone: a further one is asked beside it.
@@ -183,20 +195,23 @@
         loop = asyncio.get_running_loop()
         until, have, asked = loop.time() + TAKE, set[str](), set[str]()
         out: dict[asyncio.Task[bool | None], str] = {}
+        late = False  # whether those that were asked take long
         while not self._enough([self.me, *have]) and loop.time() < until:
-            peer, first = first or self._partner(asked), None
-            if peer is not None:
-                asked.add(peer.name)
-                if peer.name not in record.keepers:
-                    self.stock.kept_by(record, [*record.keepers, peer.name])
-                out[loop.create_task(self._copy(peer, record))] = peer.name
-                if not self._enough([self.me, *have, *out.values()]):
+            if late or not self._enough([self.me, *have, *out.values()]):
+                peer = chosen.pop(0) if chosen else self._partner(asked)
+                if peer is not None:
+                    late = False
+                    asked.add(peer.name)
+                    if peer.name not in record.keepers:
+                        self.stock.kept_by(record, [*record.keepers, peer.name])
+                    out[loop.create_task(self._copy(peer, record))] = peer.name
                     continue
             if not out:
                 break
             last = self._partner(asked) is None
             timeout = until - loop.time() if last else min(HEDGE, until - loop.time())
             done, _ = await asyncio.wait(out, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+            late = not done
             for task in done:
                 name, there = out.pop(task), task.result()
                 have |= {name} if there else set()
--- a/huts/register/roster.py
+++ b/huts/register/roster.py
@@ -53,6 +53,7 @@
         self._heard: dict[str, float] = {}
         self._gone: dict[str, int] = {}  # lives that are over, so that late news do not bring them back
         self._digest: int | None = None
+        self._stores: list[Member] | None = None  # by name; None: to be made anew
 
     def add(self, member: Member) -> bool:
         """Take note of one; whether anything is new."""
@@ -62,9 +63,12 @@
         if known is None and (len(self.members) >= MOST or self._gone.get(member.node, -1) >= member.life):
             return False
         self.members[member.node] = member
-        self._digest = None
+        self._changed()
         return True
 
+    def _changed(self) -> None:
+        self._digest = self._stores = None
+
     def renew(self, node: str, now: float) -> None:
         """It has spoken to us."""
         if node in self.members:
@@ -76,7 +80,7 @@
         if member is not None and node != self.me.node:
             del self.members[node]
             self._heard.pop(node, None)
-            self._digest = None
+            self._changed()
             if member.store and len(self._gone) < MOST:
                 self._gone[node] = member.life
 
@@ -95,7 +99,9 @@
 
     def stores(self) -> list[Member]:
         """All that keep state, by name."""
-        return sorted((m for m in self.members.values() if m.store), key=lambda m: m.node)
+        if self._stores is None:
+            self._stores = sorted((m for m in self.members.values() if m.store), key=lambda m: m.node)
+        return self._stores
 
     def digest(self) -> int:
         """Of the stores and their lives: whoever has another one lacks something, or knows more."""
--- a/tests/huts/test_cluster.py
+++ b/tests/huts/test_cluster.py
@@ -6,11 +6,12 @@
 from ward import each, test
 
 from huts.refuge import Phase
+from huts.refuge.repair import Repair
 from huts.rope import PeerState
 from huts.weather.actors import ask
 from huts.weather.mountain import CONTROL, FRONT, INNER
 from huts.weather.play import Day
-from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, play, until
+from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, planted, play, until
 
 
 @test("on a calm day every message is delivered once")
@@ -353,3 +354,25 @@
         )  # type: ignore[union-attr]
         crossed += world.targets[runs[-1].target].zone != stores[holder].zone
     assert len(world.history.runs) > 50 and crossed == 0
+
+
+@test(
+    "three copies know of each other from their writing on: nothing differs that a comparison would have to mend"
+)
+def _() -> None:
+    async def scene(day: Day) -> None:
+        await day.start()
+        for _ in range(30):
+            assert (await hand_in(day)).answer == 202
+        await asyncio.sleep(2.0)
+        shelves = {n.name: n.hut.keeper.stock.shelf for n in day.world.nodes.values() if n.store}
+        assert sum(len(shelf.records) for shelf in shelves.values()) == 90
+        for name, shelf in shelves.items():
+            for other, theirs in shelves.items():
+                assert other == name or not shelf.differ(other, theirs.digests(name)), f"{name} and {other}"
+
+    async def nothing(self: Repair, peer: object) -> None:
+        pass
+
+    with planted(Repair, "mend", nothing):
+        play(Plan(6, zones=1, stores=5, losses=2), scene)
