Party: who is there and fit for what, out of the hut; asked for in classes, not sorted whole

Change: the members, links and their ranks are huts/party.py; the table of stores is made anew when a link or member changes; the few that are wanted come out of classes (lagging, zone). Behaviour as before: the suite of simulated clusters passes.

--- /dev/null
+++ b/huts/party.py
@@ -0,0 +1,239 @@
+"""Who is there, as one process sees it: the members, a link to each store, and which are fit for what.
+
+News of stores go on once, and each beat carries a digest of the list: who has another one asks. What holds
+for everybody (who counts, what these disks bear) is worked out here, from what was heard.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from emberlatch.engine import Tasks
+from huts.events import Event, say
+from huts.refuge import Keeper, Phase
+from huts.register import Member, Roster, rank
+from huts.retire import Retirements
+from huts.rope import Lost, Peer, RopeServer, Strand, Tally
+from huts.rope.peer import Words
+from huts.rope.strand import Serve
+from huts.waymark import Boot
+
+SEEDED = 10.0  # seconds from the start for which all seeds are dialled
+ASK_AGAIN = 1.5  # seconds between two questions for the list of stores
+GATHER = 0.1  # seconds for which news of stores are gathered before they are passed on
+LEFT = 6.0  # seconds of silence after which a store counts no more among those that must agree
+FORGOTTEN = 120.0  # seconds after which it is dialled no more
+LEFT_OUT = "left out"  # the name under which those that were counted out are noted
+ROSTER = "stores"  # the name under which the stores are noted on disk
+
+
+class Party:
+    """See the module. `words` is said on links, `serve` answers what comes on them."""
+
+    def __init__(self, boot: Boot, life: int, tasks: Tasks, words: Words, serve: Serve) -> None:
+        self.boot, self._tasks, self._words, self._serve = boot, tasks, words, serve
+        control = boot.listen.get("control")
+        self.me = Member(
+            boot.node, boot.ip, boot.inner_port, boot.zone, boot.region, boot.stores, boot.counted,
+            f"{control[0]}:{control[1]}" if control else "", life,
+        )  # fmt: skip
+        self.roster, self.tally = Roster(self.me), Tally()
+        self.peers: dict[tuple[str, int], Peer] = {}
+        self.phases: dict[str, str] = {}
+        self.keeper: Keeper | None = None  # where there is a disk
+        self.rope: RopeServer | None = None  # those that dialled us
+        self.retire = Retirements(boot.node, tasks, self)
+        self._stores: dict[str, Peer] | None = None  # by node; None: to be made anew
+        self._left: set[str] = set()
+        self._turn = 0
+        self._began = asyncio.get_running_loop().time()
+        self._asked = -1e9  # when it last asked for a list of stores
+        self._untold: dict[str, Member] = {}  # stores of which the others are to hear
+
+    def recall(self, keeper: Keeper) -> None:
+        """What the earlier life noted on disk."""
+        self.keeper = keeper
+        self._left = set(keeper.stock.ledger.noted(LEFT_OUT) or [])
+        for told in keeper.stock.ledger.noted(ROSTER) or []:
+            self.roster.add(Member.read(told | {"life": 0}))
+        self.retire.load(keeper.stock.ledger.noted("retire"))
+
+    def close(self) -> None:
+        """End all links."""
+        if self.rope is not None:
+            self.rope.close()
+        for peer in list(self.peers.values()):
+            peer.close()
+
+    def enough(self, nodes: Iterable[str]) -> bool:
+        """Whether what these machines' disks have bears the losses that the settings name."""
+        known = self.roster.members
+        counted = (n for n in set(nodes) if not self.retire.marked(n))
+        members = [m for n in counted if (m := known.get(n)) is not None and m.store]
+        want = self.boot.resilience
+        return (
+            len(members) > want.machines
+            and len({m.zone for m in members}) > want.zones
+            and len({m.region for m in members}) > want.regions
+        )
+
+    def stores(self) -> dict[str, Peer]:
+        """The other stores, by node."""
+        if self._stores is None:
+            links = ((m.node, self.peers.get((m.ip, m.port))) for m in self.roster.stores())
+            self._stores = {n: peer for n, peer in links if peer is not None and n != self.boot.node}
+        return self._stores
+
+    def current(self) -> dict[str, Peer]:
+        """Those of them that count: not retired, nor silent for long while most of the others were there."""
+        if not self._left and not self.retire.marks:
+            return self.stores()
+        return {n: p for n, p in self.stores().items() if n not in self._left and not self.retire.done(n)}
+
+    def count_out(self, now: float) -> None:
+        """A store that is silent for long counts no more, as long as most of the rest hear each other: who is
+        cut off itself never counts anybody out."""
+        if self.keeper is None:
+            return
+        for name, peer in self.stores().items():
+            silent = now - max(peer.last_up, peer.began)
+            if peer.up and name in self._left:
+                self._left.discard(name)
+                self._note_left()
+            elif peer.up:
+                continue
+            elif name not in self._left and silent > LEFT and self.keeper.holding.in_touch():
+                self._left.add(name)
+                self._note_left()
+                say(Event.MEMBER_LEFT, name)
+            elif name in self._left and silent > FORGOTTEN:
+                self._left.discard(name)
+                self._note_left()
+                self.roster.remove(name)
+                self.dial()
+
+    def _note_left(self) -> None:
+        """Who was counted out stays so over our next start, until it is heard: nobody waits for it then."""
+        if self.keeper is not None:
+            self.keeper.stock.ledger.note(LEFT_OUT, sorted(self._left))
+            self.keeper.stock.ledger.settle()
+
+    def able_stores(self) -> list[Peer]:
+        """Those that take messages and copies."""
+        return [p for n, p in self.current().items() if p.up and self.serving(n)]
+
+    def other_stores(self) -> list[Peer]:
+        """Those of them that can be asked."""
+        return [peer for peer in self.stores().values() if peer.up]
+
+    def near_stores(self, thing: str = "") -> list[Peer]:
+        """The stores that take messages, those of our zone first; of these the one whose turn a thing is, so
+        that what goes to one service is in few hands."""
+        here = self.boot
+        return list(self._ranked(thing, set(), lambda m: (m.zone != here.zone, m.region != here.region)))
+
+    def partners(self, have: set[str]) -> Iterator[Peer]:
+        """The stores that may keep what these have, the best first: what is lacking of zones and regions,
+        else our own zone, for each body that leaves it is paid for."""
+        members, want = self.roster.members, self.boot.resilience
+        zones = {m.zone for n in have if (m := members.get(n)) is not None}
+        regions = {m.region for n in have if (m := members.get(n)) is not None}
+        new_zone, new_region = len(zones) <= want.zones, len(regions) <= want.regions
+        self._turn += 1
+
+        def worse(member: Member) -> tuple[bool, ...]:
+            return (
+                new_region and member.region in regions,
+                new_zone and member.zone in zones,
+                not new_zone and member.zone != self.boot.zone,
+            )
+
+        return self._ranked(str(self._turn), have, worse)
+
+    def _ranked(
+        self, thing: str, but: set[str], worse: Callable[[Member], tuple[bool, ...]]
+    ) -> Iterator[Peer]:
+        """The stores that take messages and copies, but these: who lags is last, then who is `worse`; of
+        those that are alike the one whose turn the thing is. They are many, and a few of them are wanted."""
+        classes: dict[tuple[bool, ...], list[Peer]] = {}
+        for peer in self.able_stores():
+            if peer.name not in but:
+                kind = peer.lagging, *worse(self.roster.members[peer.name])
+                classes.setdefault(kind, []).append(peer)
+        for kind in sorted(classes):
+            yield from sorted(classes[kind], key=lambda peer: -rank(thing, peer.name))
+
+    def serving(self, node: str) -> bool:
+        """Whether a store said that it takes messages and copies."""
+        return self.phases.get(node) == Phase.SERVING.value
+
+    def dial(self) -> None:
+        """Keep a link to each store; to the seeds for a while, or as long as none is known: the first that
+        answers may know only part of the others."""
+        wanted = {(m.ip, m.port): m.node for m in self.roster.stores() if m.node != self.boot.node}
+        young = asyncio.get_running_loop().time() - self._began < SEEDED
+        if young or len(wanted) < 1 + (not self.boot.stores) or not any(p.up for p in self.peers.values()):
+            for host, _ in self.boot.seeds:
+                if host != self.boot.ip:
+                    wanted.setdefault((host, self.boot.inner_port), f"seed {host}")
+        for address, name in wanted.items():
+            peer = self.peers.get(address)
+            if peer is None:
+                self.peers[address] = Peer(name, address, self._serve, self._tasks, self._words, self.tally)
+            elif not name.startswith("seed "):
+                peer.name = name
+        for address in [a for a in self.peers if a not in wanted]:
+            self.peers.pop(address).close()
+        self._stores = None
+
+    def meet(self, told: Any, peer: Peer | Strand | None) -> None:
+        """What another process says of itself and of the stores that it knows."""
+        told_of, speaker = [Member.read(item) for item in told["roster"]], Member.read(told["me"])
+        news = [m for m in (*told_of, speaker) if self.roster.add(m) and m.store]
+        self.roster.renew(speaker.node, asyncio.get_running_loop().time())
+        if peer is not None:
+            peer.name = speaker.node
+        if told.get("phase") is not None:
+            self.phases[speaker.node] = told["phase"]
+        if not news:
+            return
+        for member in news:
+            say(Event.MEMBER_NEW, member.node, member.ip, f"life={member.life}")
+        self.dial()
+        if self.keeper is None:
+            return
+        self.keeper.stock.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
+        self.keeper.stock.ledger.settle()
+        if not self._untold:
+            asyncio.get_running_loop().call_later(GATHER, self._tell_members)
+        self._untold.update((m.node, m) for m in news)
+
+    def _tell_members(self) -> None:
+        """Pass on what is new of the stores: only that, and what came within a moment in one piece."""
+        news, self._untold = self._untold, {}
+        told = self.told() | {"roster": [m.told() for m in news.values()]}
+        for peer in self.other_stores():
+            peer.tell("members", told)
+        for strand in list(self.rope.strands) if self.rope is not None else []:
+            member = self.roster.members.get(strand.name)
+            if member is not None and not member.store:
+                strand.tell("members", told)
+
+    def told(self) -> dict[str, Any]:
+        """Who we are, and the stores that we know if we are one."""
+        known = self.roster.stores() if self.boot.stores else []
+        return {"me": self.me.told(), "roster": [m.told() for m in known]}
+
+    async def _ask_roster(self, peer: Peer) -> None:
+        with contextlib.suppress(Lost):  # the next beat says again that the lists differ
+            self.meet(await peer.ask("roster", None, 1.0), peer)
+
+    def compare(self, peer: Peer, digest: Any) -> None:
+        """Whoever has another list of stores is asked for it, now and then."""
+        now = asyncio.get_running_loop().time()
+        if isinstance(digest, int) and digest != self.roster.digest() and now - self._asked > ASK_AGAIN:
+            self._asked = now
+            self._tasks.spawn(self._ask_roster(peer))
--- a/huts/refuge/keeper.py
+++ b/huts/refuge/keeper.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from emberlatch.engine import Tasks
@@ -42,7 +42,7 @@
         stores: Callable[[], dict[str, Peer]],
         known: Callable[[], dict[str, Peer]],
         able: Callable[[], list[Peer]],
-        partners: Callable[[set[str]], list[Peer]],
+        partners: Callable[[set[str]], Iterator[Peer]],
         limits: tuple[float, float],
         keep_s: float,
     ) -> None:
@@ -174,7 +174,7 @@
 
     def _partner(self, but: set[str]) -> Peer | None:
         """Another store for a copy beside these."""
-        return next(iter(self._partners({self.me, *but})), None)
+        return next(self._partners({self.me, *but}), None)
 
     def _chosen(self) -> list[Peer]:
         """The stores that are to have copies. All are known before the first is written, so that each copy
--- a/huts/refuge/repair.py
+++ b/huts/refuge/repair.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from emberlatch.engine import Tasks
@@ -29,7 +29,7 @@
         tasks: Tasks,
         stores: Callable[[], dict[str, Peer]],
         able: Callable[[], list[Peer]],
-        partners: Callable[[set[str]], list[Peer]],
+        partners: Callable[[set[str]], Iterator[Peer]],
         enough: Callable[[Iterable[str]], bool],
     ) -> None:
         self._stock, self._tasks = stock, tasks
--- a/huts/weather/growth.py
+++ b/huts/weather/growth.py
@@ -65,13 +65,11 @@
     for node in world.nodes.values():
         if node.hut is not None:
             far = {n.name for n in world.nodes.values() if n.zone != node.zone}
-            for method, (_, size) in node.hut.tally.over(far.__contains__).items():
+            for method, (_, size) in node.hut.party.tally.over(far.__contains__).items():
                 sums[method] += size
     return sums
 
 
 def _frames(world: Mountain) -> dict[str, int]:
-    huts = ((name, node.hut) for name, node in world.nodes.items())
-    return {
-        name: sum(frames for frames, _ in hut.tally.sent.values()) for name, hut in huts if hut is not None
-    }
+    sent = ((n, node.hut.party.tally.sent) for n, node in world.nodes.items() if node.hut is not None)
+    return {name: sum(frames for frames, _ in sums.values()) for name, sums in sent}
--- a/tests/huts/test_cluster.py
+++ b/tests/huts/test_cluster.py
@@ -314,8 +314,8 @@
         world.nodes["f0"].kill(0.5)
         await asyncio.sleep(1.5)
         front = world.nodes["f0"].hut
-        assert front is not None and len(front.stores()) == 3
-        assert sum(p.state is PeerState.UP for p in front.stores().values()) == 1 and front.lacks()
+        assert front is not None and len(front.party.stores()) == 3
+        assert sum(p.state is PeerState.UP for p in front.party.stores().values()) == 1 and front.lacks()
         await until(lambda: not front.lacks(), 8.0)
 
     assert not play(Plan(14), scene)[1]
--- a/tests/huts/test_members.py
+++ b/tests/huts/test_members.py
@@ -6,7 +6,7 @@
 
 from ward import test
 
-from huts.hut import Hut
+from huts.party import Party
 from huts.register import Member, Roster
 from huts.weather.growth import measure
 from huts.weather.play import Day
@@ -16,7 +16,7 @@
 
 
 def lists(scene: Day) -> set[int]:
-    return {n.hut.roster.digest() for n in scene.world.nodes.values() if n.up and n.hut is not None}
+    return {n.hut.party.roster.digest() for n in scene.world.nodes.values() if n.up and n.hut is not None}
 
 
 @test("nine stores and twelve forwarders that know three seeds all find each other")
@@ -25,7 +25,7 @@
         await scene.start()
         for node in scene.world.nodes.values():
             assert node.hut is not None
-            assert len(node.hut.stores()) == 9 - node.store, node.name
+            assert len(node.hut.party.stores()) == 9 - node.store, node.name
             assert node.hut.cairn.revision == scene.revision, node.name
 
     play(Plan(3, fronts=12, stores=9), scene)
@@ -37,7 +37,7 @@
         await scene.start()
         scene.world.add_store("late", "z1")
         forwarders = [n.hut for n in scene.world.nodes.values() if not n.store and n.hut is not None]
-        await until(lambda: all("late" in hut.stores() for hut in forwarders), 1.5)
+        await until(lambda: all("late" in hut.party.stores() for hut in forwarders), 1.5)
 
     play(Plan(4, fronts=9, stores=6), scene)
 
@@ -49,7 +49,7 @@
         scene.world.add_store("late", "z1")
         await until(lambda: len(lists(scene)) == 1, 6.0)
 
-    with planted(Hut, "_tell_members", lambda self: None):
+    with planted(Party, "_tell_members", lambda self: None):
         play(Plan(5, fronts=6, stores=6), scene)
 
 
--- a/tests/huts/test_planted.py
+++ b/tests/huts/test_planted.py
@@ -12,6 +12,7 @@
 from huts.descent.descent import Stage
 from huts.hut import Hut
 from huts.lookout import Targets
+from huts.party import Party
 from huts.refuge import Keeper, Record, State
 from huts.refuge.repair import Repair
 from huts.trailhead import front
@@ -27,7 +28,7 @@
 def _() -> None:
     with (
         planted(Keeper, "_partner", lambda self, but: None),
-        planted(Hut, "enough", lambda self, nodes: bool(nodes)),
+        planted(Party, "enough", lambda self, nodes: bool(nodes)),
     ):
         assert "LOST" in rules(Fault(3.0, "wipe", "s0", 1.0))
 
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -46,7 +46,7 @@
         await asyncio.sleep(4.5)
         for one in sent:
             assert len([n for n in on_disk(world, one.id) if n != "s0"]) >= 2
-        await until(lambda: "s0" not in world.nodes["s1"].hut.current(), 8.0)
+        await until(lambda: "s0" not in world.nodes["s1"].hut.party.current(), 8.0)
         world.nodes["s1"].power_off(1.0)
         await asyncio.sleep(0.5)
         assert world.nodes["s2"].hut.keeper.holding.in_touch()
