huts growth: what a cluster of some size costs; the word's digest is reckoned once

Change: huts growth FORWARDERS/STORES plays a calm cluster and prints bytes over borders at the start and in calm, frames, the busiest process, the time until a configuration is everywhere. The cairn keeps the rank of what it holds beside it.

--- a/huts/cairn/cairn.py
+++ b/huts/cairn/cairn.py
@@ -44,6 +44,7 @@
         self._enough, self._others = enough, others
         self.held: Configuration | None = None  # the newest that this process has, on its disk if it has one
         self.force: Configuration | None = None  # the newest that stands
+        self._held = self._force = (-1, "")  # their ranks
         self._have: dict[str, tuple[int, str]] = {}  # the newest that each store said it has on its disk
         self._changed = asyncio.Event()
         self._writing = asyncio.Lock()
@@ -75,19 +76,18 @@
         Two operators may send two texts under one version to two machines: of these the one with the higher
         digest stays, everywhere.
         """
-        if _rank(config) > _rank(self.held):
-            self.held = config
-            self._have[self._me] = _rank(config)
+        if (told := _rank(config)) > self._held:
+            self.held, self._held, self._have[self._me] = config, told, told
             self._settle()
 
     def _settle(self) -> None:
         """The one place in which the version in force changes: what enough disks have."""
         held = self.held
-        if held is None or _rank(held) <= _rank(self.force):
+        if held is None or self._held <= self._force:
             return
-        have = [node for node, has in self._have.items() if has == _rank(held) or has[0] > held.revision]
+        have = [node for node, has in self._have.items() if has == self._held or has[0] > held.revision]
         if self._files is None or self._enough(have):
-            self.force = held
+            self.force, self._force = held, self._held
             say(Event.CONFIG_TAKEN, f"revision={held.revision}")
             self.in_force(held)
         self._changed.set()
@@ -100,7 +100,7 @@
             if self._have.get(node, (-1, "")) <= told:
                 self._have[node] = told
                 self._settle()
-            return told > _rank(self.held)
+            return told > self._held
         return False
 
     def forget(self, node: str) -> None:
@@ -123,7 +123,7 @@
             case _:
                 return read
         async with self._writing:
-            newer = _rank(config) > _rank(self.held) if ours else config.revision > self.newest
+            newer = _rank(config) > self._held if ours else config.revision > self.newest
             if newer:
                 if self._files is not None:
                     files = self._files
@@ -157,7 +157,7 @@
 
     async def _spread(self, peer: Peer) -> None:
         held = self.held
-        if held is None or self._have.get(peer.name, (-1, "")) >= _rank(held):
+        if held is None or self._have.get(peer.name, (-1, "")) >= self._held:
             return
         with contextlib.suppress(Lost):  # it is told again when the link is up
             self.heard(peer.name, await peer.ask("word", held.raw, SPREAD))
@@ -170,7 +170,7 @@
     def meet(self, peer: Peer, version: Any, stands: Any) -> None:
         """A peer said which version it holds, and which is in force there: who has the older one takes the
         other's."""
-        mine = _rank(self.held)
+        mine = self._held
         older = self.heard(peer.name, version) if self._files is not None else False
         if self._files is None:
             older = isinstance(stands, int) and stands > mine[0]
@@ -194,6 +194,6 @@
                 other.tell("beat", None)
 
 
-def _rank(config: Configuration | None) -> tuple[int, str]:
-    """What is compared of two versions."""
-    return (-1, "") if config is None else (config.revision, digest(config.raw))
+def _rank(config: Configuration) -> tuple[int, str]:
+    """What is compared of two versions; a digest of its whole text, so it is kept beside what is held."""
+    return config.revision, digest(config.raw)
--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from huts.guide import batch, checks, disk, trying, weather
+from huts.guide import batch, checks, disk, growth, trying, weather
 
 
 @cappa.command(name="check", help="Check a settings file (.toml) or an operator's configuration (.json).")
@@ -93,12 +93,28 @@
         raise cappa.Exit(code=batch.send(self.file, self.to, self.front, self.per_s, self.progress))
 
 
+@cappa.command(name="growth", help="What beats, a start and a new configuration cost as a cluster grows.")
+@dataclass
+class GrowthOf:
+    """Over borders: bytes that leave their zone. Exit code 2 if a size can't be read."""
+
+    sizes: Annotated[list[str], cappa.Arg(help="FORWARDERS/STORES, several", num_args=-1)] = field(
+        default_factory=list
+    )
+    zones: Annotated[int, cappa.Arg(long=True, help="zones")] = 3
+    targets: Annotated[int, cappa.Arg(long=True, help="targets that beat")] = 10
+    json: Annotated[bool, cappa.Arg(long=True, help="a JSON object a line")] = False
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=growth.run(self.sizes, self.zones, self.targets, self.json))
+
+
 @cappa.command(name="huts", help="A whole ingest and dispatch service.")
 @dataclass
 class Huts:
     """The commands."""
 
-    command: cappa.Subcommands[Batch | Check | Events | StateOf | Try | Weather]
+    command: cappa.Subcommands[Batch | Check | Events | GrowthOf | StateOf | Try | Weather]
 
 
 def main() -> None:
