--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -317,7 +317,7 @@
         assert self.config is not None or not self._queues
         for name, queue in self._queues.items():
             service = self.config.by_service.get(name) if self.config is not None else None
-            if service is None:
+            if service is None or not (queue.fresh or queue.late):
                 continue
             ways = self._ways(name)
             while ways:
