huts state export and restore: a copy of the system's state, put on an empty one

Change: huts state show, export, restore. A copy is one file, merged from as many disks as are at hand by the same merging as repair, with a digest; restored, each record has holder and keepers among the new machines by rendezvous hashing.

--- /dev/null
+++ b/huts/guide/copying.py
@@ -0,0 +1,156 @@
+"""A copy of the system's state in one file, taken from machines' disks and put on empty ones.
+
+The file is a sequence of CBOR items: a head, a record each, and an end with their number and a digest, so that
+a copy that is cut short or damaged is told from a whole one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import sqlite3
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import cbor2
+from expression import Result
+
+from huts.cairn import WordFiles
+from huts.refuge import Ledger, Record, State
+from huts.register import rank
+from huts.waymark import read_configuration
+
+FORMAT = 1
+
+
+class BadCopy(Exception):
+    """It can't be used; the text says why."""
+
+
+async def _never(work: Callable[[], None]) -> None:
+    raise AssertionError("a copy is written at once")
+
+
+def _records(folder: Path) -> Iterator[Record]:
+    """All that a disk holds; times are times of day."""
+    database = folder / "records.db"
+    if not database.exists():
+        raise BadCopy(f"{folder}: no records here")
+    with sqlite3.connect(f"file:{database}?mode=ro", uri=True) as db:
+        for id, meta, body in db.execute("SELECT id, meta, body FROM records"):
+            try:
+                yield Record.read(cbor2.loads(meta) | {"id": id, "body": body}, 0.0)
+            except Exception as error:
+                raise BadCopy(f"{folder}: record {id} is damaged: {error!r}") from None
+
+
+def merged(folders: list[Path]) -> tuple[dict[str, Record], bytes | None]:
+    """What these disks hold together, each record as the one that knows most has it, and the highest word."""
+    found: dict[str, Record] = {}
+    word: tuple[int, bytes] | None = None
+    for folder in folders:
+        for record in _records(folder):
+            known = found.setdefault(record.id, record)
+            if known is not record:
+                known.merge(record.state, record.seal, record.epoch, record.holder, record.attempts)
+                known.body = known.body if known.body is not None else record.body
+                known.host, known.path = known.host or record.host, known.path or record.path
+        raw = WordFiles(folder / "word").newest() if (folder / "word").is_dir() else None
+        match read_configuration(raw) if raw is not None else None:
+            case Result(tag="ok", ok=config) if word is None or config.revision > word[0]:
+                word = config.revision, config.raw
+            case _:
+                pass
+    return found, word[1] if word is not None else None
+
+
+def export(folders: list[Path], to: Path) -> int:
+    """Write a copy; 2 if it can't be made."""
+    try:
+        records, word = merged(folders)
+    except BadCopy as bad:
+        print(bad, file=sys.stderr)
+        return 2
+    kept = [r for r in records.values() if r.state is not State.VOID]
+    digest = hashlib.sha256()
+    with to.open("wb") as out:
+        _put(out, digest, {"huts": FORMAT, "word": word})
+        for record in kept:
+            _put(out, digest, record.told(0.0, record.body))
+        _put(out, hashlib.sha256(), {"records": len(kept), "digest": digest.digest()})
+    waiting = sum(record.open for record in kept)
+    print(f"{to}: {len(kept)} records, {waiting} of them wait; word {'yes' if word else 'none'}")
+    return 0
+
+
+def _put(out: BinaryIO, digest: Any, item: Any) -> None:
+    data = cbor2.dumps(item)
+    digest.update(data)
+    out.write(data)
+
+
+def read(path: Path) -> tuple[list[Record], bytes | None]:
+    """A copy, if it is whole; BadCopy else."""
+    items = list[Any]()
+    digest, ended = hashlib.sha256(), None
+    with path.open("rb") as source:
+        try:
+            while ended is None:
+                began = source.tell()
+                item = cbor2.load(source)
+                if isinstance(item, dict) and "digest" in item:
+                    ended = item
+                    break
+                after = source.tell()
+                source.seek(began)
+                digest.update(source.read(after - began))
+                items.append(item)
+            if items[0]["huts"] != FORMAT:
+                raise BadCopy(f"{path}: format {items[0]['huts']}, {FORMAT} is known")
+            records = [Record.read(told, 0.0) for told in items[1:]]
+        except BadCopy:
+            raise
+        except Exception as error:
+            raise BadCopy(f"{path}: cut short or no copy: {error!r}"[:300]) from None
+    if ended["records"] != len(records) or ended["digest"] != digest.digest():
+        raise BadCopy(f"{path}: damaged: its digest is another")
+    return records, items[0]["word"]
+
+
+def restore(path: Path, into: Path, node: str, nodes: list[str], copies: int) -> int:
+    """Put a copy's part for one machine on its empty disk; 1 if the copy is damaged, 2 if it can't be done.
+
+    What waits is held by one of the machines and kept by so many, by rendezvous hashing, so that the part
+    of each can be worked out alone.
+    """
+    if node not in nodes or not 0 < copies <= len(nodes):
+        print(f"{node}: one of --nodes is wanted, and 1 to {len(nodes)} copies", file=sys.stderr)
+        return 2
+    if (into / "records.db").exists() or (into / "word").exists():
+        print(f"{into}: not empty; a copy is put on empty disks alone", file=sys.stderr)
+        return 2
+    try:
+        records, word = read(path)
+    except BadCopy as bad:
+        print(bad, file=sys.stderr)
+        return 1
+    ledger = Ledger(into / "records.db", _never, lambda: 0.0, lambda error: None)
+    ours = 0
+    for record in records:
+        keepers = sorted(nodes, key=lambda name: -rank(record.id, name))[:copies]
+        if node in keepers:
+            ours += 1
+            record.keepers, record.holder, record.epoch = tuple(keepers), keepers[0], record.epoch + 1
+            ledger.put(record, 0.0)
+    ledger.note("life", 1)
+    ledger.close()
+    if word is not None:
+        match read_configuration(word):
+            case Result(tag="ok", ok=config):
+                WordFiles(into / "word").write(config.revision, word)
+            case Result(error=reason):
+                print(f"{path}: the word in it is not valid: {reason}", file=sys.stderr)
+                return 1
+    print(f"{into}: {ours} of {len(records)} records; word {'yes' if word else 'none'}")
+    return 0
--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from huts.guide import batch, checks, disk, growth, trying, weather
+from huts.guide import batch, checks, copying, disk, growth, trying, weather
 
 
 @cappa.command(name="check", help="Check a settings file (.toml) or an operator's configuration (.json).")
@@ -31,9 +31,9 @@
         print(checks.catalogue(), end="")
 
 
-@cappa.command(name="state", help="What a machine's disk holds; the process must not run.")
+@cappa.command(name="show", help="What a machine's disk holds; the process must not run.")
 @dataclass
-class StateOf:
+class Show:
     """Counts, versions and what is damaged."""
 
     folder: Annotated[Path, cappa.Arg(help="the data folder of the process")]
@@ -45,6 +45,44 @@
         raise cappa.Exit(code=disk.show(self.folder, self.verify))
 
 
+@cappa.command(name="export", help="Take a copy of the state: one file from the disks of stopped machines.")
+@dataclass
+class Export:
+    """As many machines' folders as are at hand: `resilience` says how many may be lacking. Exit code 2 if one
+    can't be read."""
+
+    folders: Annotated[list[Path], cappa.Arg(help="data folders", num_args=-1)]
+    to: Annotated[Path, cappa.Arg(long=True, help="the file")]
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=copying.export(self.folders, self.to))
+
+
+@cappa.command(name="restore", help="Put a copy on the empty disk of one machine; call it for each.")
+@dataclass
+class Restore:
+    """Only where the old system is gone for good: what ended after the copy was taken runs again. Exit code 1
+    if the copy is damaged, 2 if the folder is not empty."""
+
+    file: Annotated[Path, cappa.Arg(help="the copy")]
+    into: Annotated[Path, cappa.Arg(long=True, help="the machine's data folder")]
+    node: Annotated[str, cappa.Arg(long=True, help="the machine's name")]
+    nodes: Annotated[str, cappa.Arg(long=True, help="names of all machines that get a part, by commas")]
+    copies: Annotated[int, cappa.Arg(long=True, help="machines that keep each record")] = 2
+
+    def __call__(self) -> None:
+        names = [name for name in self.nodes.split(",") if name]
+        raise cappa.Exit(code=copying.restore(self.file, self.into, self.node, names, self.copies))
+
+
+@cappa.command(name="state", help="Disks of machines: what they hold, a copy of it, a copy put back.")
+@dataclass
+class StateOf:
+    """The processes must not run."""
+
+    command: cappa.Subcommands[Show | Export | Restore]
+
+
 @cappa.command(name="try", help="Start the whole system on loopback addresses, with targets and clients.")
 @dataclass
 class Try:
@@ -68,13 +106,14 @@
     jobs: Annotated[int, cappa.Arg(long=True, help="processes")] = 1
     log: Annotated[bool, cappa.Arg(long=True, help="print what the processes log")] = False
     strange: Annotated[bool, cappa.Arg(long=True, help="more losses than the settings allow")] = False
+    large: Annotated[bool, cappa.Arg(long=True, help="deployments that have grown")] = False
     shrink: Annotated[bool, cappa.Arg(long=True, help="leave out faults as long as a rule still breaks")] = (
         False
     )
 
     def __call__(self) -> None:
         raise cappa.Exit(
-            code=weather.run(self.seed, self.days, self.jobs, self.log, self.strange, self.shrink)
+            code=weather.run(self.seed, self.days, self.jobs, self.log, self.strange, self.large, self.shrink)
         )
 
 
--- a/huts/guide/weather.py
+++ b/huts/guide/weather.py
@@ -12,9 +12,9 @@
 from huts.weather import Plan, draw, play
 
 
-def judge(seed: int, strange: bool) -> tuple[int, int, list[str]]:
+def judge(seed: int, strange: bool, large: bool) -> tuple[int, int, list[str]]:
     """The seed, how many messages were accepted, and a line for each breach."""
-    world, breaches = play(draw(seed, strange))
+    world, breaches = play(draw(seed, strange, large))
     accepted = sum(sent.answer == 202 for sent in world.history.sent.values())
     return seed, accepted, [f"{b.rule} at {b.at - 1000:.3f} s: {b.text}" for b in breaches]
 
@@ -31,12 +31,12 @@
     return plan
 
 
-def run(seed: int, days: int, jobs: int, log: bool, strange: bool, smaller: bool) -> int:
+def run(seed: int, days: int, jobs: int, log: bool, strange: bool, large: bool, smaller: bool) -> int:
     """Play them; 1 if a rule was broken."""
     logging.basicConfig(level=logging.INFO if log else logging.CRITICAL, format="%(message)s")
     rules, accepted, broken = Counter[str](), 0, []
     seeds = range(seed, seed + days)
-    work = partial(judge, strange=strange)
+    work = partial(judge, strange=strange, large=large)
     with ProcessPoolExecutor(jobs) as pool:
         for number, count, lines in pool.map(work, seeds) if jobs > 1 else map(work, seeds):
             accepted += count
@@ -48,5 +48,5 @@
         f"{days} days, {accepted} messages accepted, {len(broken)} days with a rule broken", dict(rules) or ""
     )
     if smaller and broken:
-        print(shrink(draw(broken[0], strange), lambda plan: bool(play(plan)[1])))
+        print(shrink(draw(broken[0], strange, large), lambda plan: bool(play(plan)[1])))
     return 1 if broken else 0
--- a/huts/weather/play.py
+++ b/huts/weather/play.py
@@ -22,11 +22,12 @@
 )
 
 
-def draw(seed: int, strange: bool = False) -> Plan:
-    """A drawn deployment and day; `strange` ones lose stores faster than the settings allow."""
+def draw(seed: int, strange: bool = False, large: bool = False) -> Plan:
+    """A drawn deployment and day; `strange` ones lose stores faster than the settings allow, `large` ones
+    have the size of deployments that have grown."""
     chance = random.Random(f"plan {seed}")
-    stores = chance.choice((3, 3, 3, 4, 5, 7, 9))
-    fronts = chance.randrange(2, 7)
+    stores = chance.choice((12, 15, 18) if large else (3, 3, 3, 4, 5, 7, 9))
+    fronts = chance.randrange(16, 41) if large else chance.randrange(2, 7)
     seconds = chance.uniform(8.0, 16.0)
     faults, at = list[Fault](), 1.0
     while at < seconds - 1:
@@ -62,7 +63,8 @@
     if closing:
         faults.append(Fault(seconds - 0.5, closing, f"s{chance.randrange(stores)}", chance.uniform(0.5, 1.5)))
     return Plan(
-        seed, zones=chance.choice((1, 2, 3)), fronts=fronts, stores=stores, targets=chance.randrange(2, 9),
+        seed, zones=chance.choice((3, 4) if large else (1, 2, 3)), fronts=fronts, stores=stores,
+        targets=chance.randrange(8, 30) if large else chance.randrange(2, 9),
         per_s=chance.uniform(10, 50), seconds=seconds, poison=chance.choice((0.0, 0.02, 0.1)),
         losses=2 if stores >= 5 and chance.random() < 0.5 else 1,
         rate=chance.choice((0.0, 0.0, 6.0, 20.0)), faults=tuple(faults),
