--- a/huts/guide/copying.py
+++ b/huts/guide/copying.py
@@ -1,7 +1,7 @@
 """A copy of the system's state in one file, taken from machines' disks and put on empty ones.
 
-The file is a sequence of CBOR items: a head, a record each, and an end with their number and a digest, so that
-a copy that is cut short or damaged is told from a whole one.
+The file is a sequence of CBOR items: a head, a record each, and an end with their number and a digest, so
+that a copy that is cut short or damaged is told from a whole one.
 """
 
 from __future__ import annotations
