--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -91,9 +91,13 @@
     seconds: Annotated[float, cappa.Arg(long=True, help="how long clients hand messages in")] = 10.0
     per_s: Annotated[float, cappa.Arg(long="--per-s", help="messages a second")] = 40.0
     kill: Annotated[bool, cappa.Arg(long=True, help="kill a store half-way")] = False
+    rolled: Annotated[
+        Path | None,
+        cappa.Arg(long="--from", help="try a roll-out: begin with this checkout, go over machine by machine"),
+    ] = None
 
     def __call__(self) -> None:
-        raise cappa.Exit(code=trying.run(self.seconds, self.per_s, self.kill))
+        raise cappa.Exit(code=trying.run(self.seconds, self.per_s, self.kill, self.rolled))
 
 
 @cappa.command(name="weather", help="Play drawn days of simulated clusters, and hold them to the rules.")
--- a/huts/guide/trying.py
+++ b/huts/guide/trying.py
@@ -1,9 +1,14 @@
 """The whole system on one machine: three stores and two forwarders as processes on loopback addresses, with
-targets and clients beside them in this process."""
+targets and clients beside them in this process.
+
+A roll-out is tried the same way: all begin with another checkout of the program, go over to this one, machine
+by machine under load, and back again.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -24,6 +29,8 @@
 from huts.weather.mountain import Mountain, Plan
 
 CONTROL, FRONT, READY, INNER = range(4)
+HERE = Path(__file__).resolve().parents[2]  # this checkout
+GRACE = 6.0  # seconds from SIGTERM to SIGKILL
 
 
 def _ports(count: int) -> list[int]:
@@ -51,6 +58,7 @@
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.targets = {}
         self._zones: dict[str, str] = {}
+        self.checkout = HERE  # from which processes are started
 
     def controls(self) -> list[tuple[str, int]]:
         found = [(host, self.ports[CONTROL]) for name, host in self.hosts.items() if name.startswith("store")]
@@ -90,11 +98,13 @@
                 f'ready = "{host}:{self.ports[READY]}"',
             ]
         settings = self.folder / f"{name}.toml"
-        settings.write_text("\n".join([*lines, "[limits]", "memory_mb = 300", "max_fds = 1000"]) + "\n")
+        lines += ["[limits]", "memory_mb = 300", "max_fds = 1000", "[resilience]", "machines = 1"]
+        settings.write_text("\n".join(lines) + "\n")
         with (self.folder / f"{name}.log").open("ab") as out:
             self.running[name] = subprocess.Popen(
                 [sys.executable, "-m", "huts"],
-                env=os.environ | {"EMBERLATCH_BOOT": str(settings)},
+                env=os.environ | {"EMBERLATCH_BOOT": str(settings), "PYTHONPATH": str(self.checkout)},
+                cwd=self.checkout,
                 stderr=out,
                 stdout=out,
             )
@@ -138,6 +148,33 @@
             return "unknown"
         return bytes(answer.body).decode().split('"')[3] if answer.status == 200 else "unknown"
 
+    async def replace(self, name: str) -> bool:
+        """Stop a process in order and start it from the checkout that is named now; whether it kept the
+        grace."""
+        process = self.running[name]
+        process.send_signal(signal.SIGTERM)
+        for _ in range(int(GRACE / 0.05)):
+            if process.poll() is not None:
+                break
+            await asyncio.sleep(0.05)
+        kept = process.poll() is not None
+        process.kill()
+        process.wait()
+        self.start(name, False)
+        return kept
+
+    async def roll(self, to: Path) -> None:
+        """All processes go over to another checkout, one after the other."""
+        self.checkout = to
+        for name in self.hosts:
+            kept = await self.replace(name)
+            now = asyncio.get_running_loop().time()
+            print(f"{now:.2f} {name} runs from {to.name}" + ("" if kept else ": killed, it kept no grace"))
+            if not kept:
+                self.history.breach("GRACE", now, name)
+            await self.ready()
+            await asyncio.sleep(1.0)
+
     def end(self) -> None:
         """End what was started, by its id."""
         for process in self.running.values():
@@ -146,15 +183,22 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def _run(yard: Yard, kill: bool) -> int:
+async def _begin(yard: Yard) -> bool:
+    """Start everything; whether it became ready."""
     for name in yard.hosts:
         yard.start(name, True)
     for n in range(4):
         await yard.add_target(yard.services[n % 2], "here", ("127.0.3.1", _ports(1)[0]))
     if not await Operator(yard).send(3) or not await yard.ready():
         print("the system did not become ready", file=sys.stderr)
-        return 1
+        return False
     await asyncio.sleep(1.5)  # until each target has announced itself
+    return True
+
+
+async def _run(yard: Yard, kill: bool) -> int:
+    if not await _begin(yard):
+        return 1
     handing = asyncio.create_task(Clients(yard, "here", yard.plan.per_s).run(yard.plan.seconds))
     began, told = asyncio.get_running_loop().time(), 0
     while not handing.done():
@@ -169,22 +213,46 @@
         answers = Counter(s.answer for s in yard.history.sent.values() if s.at >= began + told - 1)
         runs = sum(r.at >= began + told - 1 for of in yard.history.runs.values() for r in of)
         print(f"second {told:3d}: answers {dict(answers)}, runs {runs}")
-    await handing
+    return await _sum_up(yard, handing)
+
+
+async def _roll(yard: Yard, other: Path) -> int:
+    yard.checkout = other
+    if not await _begin(yard):
+        return 1
+    handing = asyncio.create_task(Clients(yard, "here", yard.plan.per_s).run(1e6))
+    await asyncio.sleep(2.0)
+    for checkout in (HERE, other):
+        await yard.roll(checkout)
+    handing.cancel()
+    return await _sum_up(yard, handing)
+
+
+async def _sum_up(yard: Yard, handing: asyncio.Task[None]) -> int:
+    """What became of everything; 1 if something was lost or a rule broken."""
+    with contextlib.suppress(asyncio.CancelledError):
+        await handing
     await asyncio.sleep(3.0)
+    answers = Counter(s.answer for s in yard.history.sent.values())
+    print(f"answers {dict(answers)} (0: none)")
     accepted = [s.id for s in yard.history.sent.values() if s.answer == 202]
     states = Counter([await yard.state(id) for id in accepted])
     again = sum(len([r for r in runs if r.status == 200]) > 1 for runs in yard.history.runs.values())
     print(f"accepted {len(accepted)}: {dict(states)}; run again after a success: {again}")
     for breach in yard.history.breaches:
-        print(f"broken: {breach.rule}: {breach.text}")
+        print(f"{breach.at:.2f} broken: {breach.rule}: {breach.text}")
     return 1 if yard.history.breaches or states["unknown"] else 0
 
 
-def run(seconds: float, per_s: float, kill: bool) -> int:
-    """Try it; 1 if something was lost or a rule broken."""
+def run(seconds: float, per_s: float, kill: bool, other: Path | None) -> int:
+    """Try it, or a roll-out from another checkout and back; 1 if something was lost or a rule broken, 2 if
+    that is none."""
     logging.basicConfig(level=logging.ERROR)
+    if other is not None and not (other / "huts" / "__main__.py").exists():
+        print(f"{other}: no checkout of this program", file=sys.stderr)
+        return 2
     yard = Yard(per_s, seconds)
     try:
-        return asyncio.run(_run(yard, kill))
+        return asyncio.run(_run(yard, kill) if other is None else _roll(yard, other.resolve()))
     finally:
         yard.end()
--- a/huts/hut.py
+++ b/huts/hut.py
@@ -126,6 +126,8 @@
                 return self.beat()
             case "hello":
                 self.party.meet(payload, strand)
+                if (peer := self.party.stores().get(strand.name)) is not None:
+                    peer.speaks()
                 return self.hello()
             case "roster":
                 return self.party.told()
--- a/huts/refuge/holding.py
+++ b/huts/refuge/holding.py
@@ -85,6 +85,9 @@
             await self._repair.give(peer, missing)
             words = [[r.id, r.epoch + 1, r.attempts] for r in records]
             lacking = set(await peer.ask("own", words, HAND))
+            if lacking:  # it was asked for a copy once, and never got it
+                await self._repair.give(peer, [r for r in records if r.id in lacking])
+                lacking = set(await peer.ask("own", words, HAND))
             for record in records:
                 if record.id not in lacking:
                     self._stock.merge(
@@ -107,10 +110,10 @@
     # Taking.
 
     def _dead(self, peer: Peer, now: float) -> bool:
-        if peer.state is PeerState.REFUSED:
-            return now - peer.since > DEAD
+        if peer.state is PeerState.REFUSED:  # unless a new life of it has dialled us since
+            return peer.spoken < peer.since and now - peer.since > DEAD
         silent = peer.state is PeerState.SILENT or not peer.up
-        since = max(peer.last_up, peer.began, self._apart)
+        since = max(peer.last_up, peer.began, peer.spoken, self._apart)
         return silent and now - since > LEASE and self.in_touch()
 
     def take_over(self, now: float, known: dict[str, Peer]) -> None:
--- a/huts/rope/peer.py
+++ b/huts/rope/peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from enum import Enum
 from typing import Any, Protocol
 
@@ -68,6 +69,8 @@
         self.since = asyncio.get_running_loop().time()  # of the present state
         self.began = self.since
         self.last_up = -1e9  # loop time at which it was last known to be there
+        self.spoken = -1e9  # loop time at which its process dialled us and said who it is
+        self._hurry = asyncio.Event()
         self.strand: Strand | None = None
         self._failed = 0
         self._task = tasks.spawn(self._keep())
@@ -82,7 +85,7 @@
         now = asyncio.get_running_loop().time()
         if state is PeerState.UP or self.state is PeerState.UP:
             self.last_up = now if state is PeerState.UP or self.strand is None else self.strand.heard
-        if state is self.state:
+        if state is self.state and self.spoken < self.since:
             return
         was, self.state, self.since = self.state, state, now
         if state is PeerState.UP:
@@ -122,6 +125,11 @@
         self.strand.tell(method, payload)
         return True
 
+    def speaks(self) -> None:
+        """Its process is there: what our last dial found is out of date."""
+        self.spoken = asyncio.get_running_loop().time()
+        self._hurry.set()
+
     def flush(self) -> None:
         """What was told leaves now."""
         if self.strand is not None:
@@ -135,8 +143,11 @@
 
     async def _keep(self) -> None:
         while True:
+            self._hurry.clear()
             await self._dial()
-            await asyncio.sleep(PAUSES[min(self._failed, len(PAUSES) - 1)])
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PAUSES[min(self._failed, len(PAUSES) - 1)]):
+                    await self._hurry.wait()
             self._failed += 1
 
     async def _dial(self) -> None:
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -5,10 +5,11 @@
 from ward import each, test
 
 from huts.refuge import Phase
+from huts.rope import peer
 from huts.weather.actors import Clients, ask
 from huts.weather.mountain import CONTROL
 from huts.weather.play import Day
-from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, play, until
+from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, planted, play, until
 
 
 def ran(scene: Day, id: str) -> int:
@@ -341,3 +342,50 @@
         assert sent.answer == 503 and sent.answered - sent.at < 0.05
 
     assert not play(Plan(34), scene)[1]
+
+
+@test("a holder that is back before it was taken for dead goes on alone: nobody takes over what it holds")
+def _() -> None:
+    for again in (0.15, 0.2):
+
+        async def scene(scene: Day, again: float = again) -> None:
+            await scene.start()
+            world = scene.world
+            sent = [await hand_in(scene, delay_ms=1000 + 15 * n) for n in range(100)]
+            holders = {
+                n.name for n in world.nodes.values() if n.store and n.hut.keeper.stock.shelf.held(n.name)
+            }
+            assert holders == {"s0"}
+            await asyncio.sleep(sent[0].at + 0.9 + again / 8 - world.loop.time())
+            world.nodes["s0"].kill(again)
+            killed = world.loop.time()
+            await asyncio.sleep(6.0)
+            for one in sent:
+                done = [run.at - killed for run in world.history.runs[one.id] if run.status == 200]
+                later = [at for at in done if at > 0]  # what was out at the kill is not known to have run
+                assert done and len(later) < 2, f"{one.id} ran at {later}, back after {again} s"
+
+        with planted(peer, "PAUSES", (0.05, 4.0)):
+            play(Plan(23, targets=6), scene)
+
+
+@test(
+    "what a store that leaves hands over gets there whole, also where the copy that was asked for never came"
+)
+def _() -> None:
+    async def scene(scene: Day) -> None:
+        await scene.start()
+        world = scene.world
+        sent = await hand_in(scene, delay_ms=3000)
+        for node in world.nodes.values():
+            if node.store and node.name != "s0":
+                shelf = node.hut.keeper.stock.shelf
+                for known in list(shelf.records.values()):
+                    shelf.drop(known)
+        world.nodes["s0"].term()
+        await until(lambda: not world.nodes["s0"].up, 6.0)
+        world.nodes["s0"].off = True
+        await asyncio.sleep(4.0)
+        assert len(world.history.runs.get(sent.id, [])) == 1
+
+    play(Plan(24), scene)
