huts mending: what it costs to make two stores alike

Change: huts mending RECORDS/LACKING fills two simulated stores, compares them and prints frames, bytes beside the least possible, the next comparison's bytes, processor time and the longest that the loop was held.

--- a/huts/guide/growth.py
+++ b/huts/guide/growth.py
@@ -6,6 +6,7 @@
 import logging
 import sys
 
+from huts.weather import mending
 from huts.weather.growth import Growth, measure
 
 HEAD = "forwarders stores  start MB  frames/s  of one  over kB/s  known s  cpu s/s"
@@ -19,19 +20,47 @@
     )
 
 
+def _pairs(given: list[str], usual: list[str], words: str, least: int) -> list[tuple[int, int]] | None:
+    """`A/B` items as numbers; None, and a line to standard error, if one can't be read."""
+    pairs = list[tuple[int, int]]()
+    for item in given or usual:
+        first, _, second = item.partition("/")
+        if not (first.isdigit() and second.isdigit() and int(second) >= least):
+            print(f"{item}: {words} is wanted, the second {least} at least", file=sys.stderr)
+            return None
+        pairs.append((int(first), int(second)))
+    return pairs
+
+
 def run(sizes: list[str], zones: int, targets: int, as_json: bool) -> int:
     """Measure each size (`FORWARDERS/STORES`); 2 if one can't be read."""
     logging.basicConfig(level=logging.CRITICAL)
-    pairs = list[tuple[int, int]]()
-    for size in sizes or ["8/3", "24/9", "64/18"]:
-        forwarders, _, stores = size.partition("/")
-        if not (forwarders.isdigit() and stores.isdigit() and int(stores) >= 2):
-            print(f"{size}: FORWARDERS/STORES is wanted, two stores at least", file=sys.stderr)
-            return 2
-        pairs.append((int(forwarders), int(stores)))
+    pairs = _pairs(sizes, ["8/3", "24/9", "64/18"], "FORWARDERS/STORES", 2)
+    if pairs is None:
+        return 2
     if not as_json:
         print(HEAD)
     for many, count in pairs:
         found = measure(many, count, zones, targets)
         print(json.dumps(vars(found)) if as_json else line(found), flush=True)
     return 0
+
+
+def mend(sizes: list[str], as_json: bool) -> int:
+    """Measure what it costs to make two stores alike (`RECORDS/LACKING`); 2 if one can't be read."""
+    logging.basicConfig(level=logging.CRITICAL)
+    pairs = _pairs(sizes, ["10000/200", "10000/3000", "10000/10000"], "RECORDS/LACKING", 0)
+    if pairs is None:
+        return 2
+    if not as_json:
+        print("records lacking  frames     bytes     least  again B  cpu s  longest s")
+    for records, lacking in pairs:
+        told = mending.measure(records, min(records, lacking))
+        print(
+            json.dumps(vars(told))
+            if as_json
+            else f"{records:7d} {lacking:7d} {told.frames:7d} {told.bytes:9d} {told.least:9d} "
+            f"{told.again_bytes:8d} {told.cpu_s:6.2f} {told.longest_s:10.2f}",
+            flush=True,
+        )
+    return 0
--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -152,12 +152,27 @@
         raise cappa.Exit(code=growth.run(self.sizes, self.zones, self.targets, self.json))
 
 
+@cappa.command(name="mending", help="What it costs to make two stores alike after one was away.")
+@dataclass
+class MendingOf:
+    """`least`: bytes of what was lacking alone; `again`: of the next comparison. Exit code 2 if a size is none."""
+    read."""
+
+    sizes: Annotated[list[str], cappa.Arg(help="RECORDS/LACKING, several", num_args=-1)] = field(
+        default_factory=list
+    )
+    json: Annotated[bool, cappa.Arg(long=True, help="a JSON object a line")] = False
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=growth.mend(self.sizes, self.json))
+
+
 @cappa.command(name="huts", help="A whole ingest and dispatch service.")
 @dataclass
 class Huts:
     """The commands."""
 
-    command: cappa.Subcommands[Batch | Check | Events | GrowthOf | StateOf | Try | Weather]
+    command: cappa.Subcommands[Batch | Check | Events | GrowthOf | MendingOf | StateOf | Try | Weather]
 
 
 def main() -> None:
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -7,6 +7,7 @@
 from huts.refuge import Phase
 from huts.rope import peer
 from huts.weather.actors import Clients, ask
+from huts.weather.mending import measure
 from huts.weather.mountain import CONTROL
 from huts.weather.play import Day
 from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, planted, play, until
@@ -389,3 +390,10 @@
         assert len(world.history.runs.get(sent.id, [])) == 1
 
     play(Plan(24), scene)
+
+
+@test("two stores that are alike are compared at the cost of their digests, however much they hold")
+def _() -> None:
+    small, large = measure(500, 20), measure(4000, 20)  # each asserts that what was lacking is there
+    assert small.again_bytes == large.again_bytes < 1000
+    assert large.bytes > large.least > 0
