--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -155,8 +155,8 @@
 @cappa.command(name="mending", help="What it costs to make two stores alike after one was away.")
 @dataclass
 class MendingOf:
-    """`least`: bytes of what was lacking alone; `again`: of the next comparison. Exit code 2 if a size is none."""
-    read."""
+    """`least`: bytes of what was lacking alone; `again`: of the next comparison. Exit code 2 if a size is
+    none."""
 
     sizes: Annotated[list[str], cappa.Arg(help="RECORDS/LACKING, several", num_args=-1)] = field(
         default_factory=list
