--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -522,7 +522,3 @@
             if self._loop.time() > until - STOPPING:
                 break
             await asyncio.sleep(0.02)
-
-    def next_due(self) -> float:
-        """When the next message is to run; infinite if none waits."""
-        return self._rest[0][0] if self._rest else math.inf
--- a/huts/register/roster.py
+++ b/huts/register/roster.py
@@ -91,12 +91,6 @@
             if not member.store and node != self.me.node and self._heard.get(node, -1e9) < before:
                 self.remove(node)
 
-    def leased(self, now: float, lease: float) -> list[Member]:
-        """Those whose lease is running, ourselves among them."""
-        return [
-            m for n, m in self.members.items() if n == self.me.node or now - self._heard.get(n, -1e9) < lease
-        ]
-
     def stores(self) -> list[Member]:
         """All that keep state, by name."""
         if self._stores is None:
