huts status and why: what a running system says of itself

Change: both ask the stores on their port for other processes what these ask each other already (roster, beat, records); nothing new runs in a process. status names stores that do not answer and who has another configuration or list; why prints what each store has of a message.

--- a/huts/guide/main.py
+++ b/huts/guide/main.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from huts.guide import batch, checks, copying, disk, growth, trying, weather
+from huts.guide import asking, batch, checks, copying, disk, growth, trying, weather
 
 
 @cappa.command(name="check", help="Check a settings file (.toml) or an operator's configuration (.json).")
@@ -167,12 +167,39 @@
         raise cappa.Exit(code=growth.mend(self.sizes, self.json))
 
 
+@cappa.command(name="status", help="What the stores of a running system say, and where they disagree.")
+@dataclass
+class Status:
+    """Exit code 0 if all agree, 1 if something is wrong, 2 if nobody answers."""
+
+    at: Annotated[str, cappa.Arg(help="HOST:PORT of any store, its port for other processes")]
+    json: Annotated[bool, cappa.Arg(long=True, help="one JSON object")] = False
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=asking.run(self.at, None, self.json))
+
+
+@cappa.command(name="why", help="The life of one message: what each store has of it.")
+@dataclass
+class Why:
+    """Exit code 0 if a store knows it, 1 if none does, 2 if nobody answers."""
+
+    id: Annotated[str, cappa.Arg(help="the message's name, the id of the try that was answered 202")]
+    at: Annotated[str, cappa.Arg(long=True, help="HOST:PORT of any store, its port for other processes")]
+    json: Annotated[bool, cappa.Arg(long=True, help="one JSON object")] = False
+
+    def __call__(self) -> None:
+        raise cappa.Exit(code=asking.run(self.at, self.id, self.json))
+
+
 @cappa.command(name="huts", help="A whole ingest and dispatch service.")
 @dataclass
 class Huts:
     """The commands."""
 
-    command: cappa.Subcommands[Batch | Check | Events | GrowthOf | MendingOf | StateOf | Try | Weather]
+    command: cappa.Subcommands[
+        Batch | Check | Events | GrowthOf | MendingOf | StateOf | Status | Try | Weather | Why
+    ]
 
 
 def main() -> None:
--- a/huts/guide/trying.py
+++ b/huts/guide/trying.py
@@ -193,6 +193,7 @@
         print("the system did not become ready", file=sys.stderr)
         return False
     await asyncio.sleep(1.5)  # until each target has announced itself
+    print(f"it serves; look at it with: huts status {yard.hosts['store-0']}:{yard.ports[INNER]}")
     return True
 
 
