--- a/tests/huts/test_planted.py
+++ b/tests/huts/test_planted.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 from ward import test
@@ -16,6 +17,7 @@
 from huts.refuge import Keeper, Record, State
 from huts.refuge.repair import Repair
 from huts.trailhead import front
+from huts.trailhead.desk import Settler
 from huts.weather.play import Day
 from tests.huts.support import Fault, Plan, day, hand_in, planted, play
 
@@ -190,3 +192,69 @@
         Descent.random_drop = lambda self: next(count) % 10 == 0  # type: ignore[attr-defined]
         assert "TWICE" in rules()
         del Descent.random_drop  # type: ignore[attr-defined]
+
+
+@test("an acknowledgement of a leaving target that nobody else hears of")
+def _() -> None:
+    async def tell(self: Settler, target: Any, news: bool) -> None:
+        pass
+
+    with planted(Settler, "_tell", tell):
+        found = set[str]()
+        for seed in range(3):
+            faults = [Fault(0.5 + n, "target leave") for n in range(3)]
+            found |= rules(*faults, seed=seed, seconds=8.0, targets=8)
+        assert "DRAIN" in found
+
+
+@test("deliveries that do not name the instance they expect, to addresses that others use again")
+def _() -> None:
+    sound = Descent._parcel
+
+    def parcel(self: Descent, ref: int, target: bytes) -> Any:
+        return replace(sound(self, ref, target), instance="")
+
+    with planted(Descent, "_parcel", parcel), planted(Targets, "_arrive", _arrive_beside):
+        found = set[str]()
+        for seed in range(3):
+            faults = [Fault(0.5 + n, "target reuse") for n in range(4)]
+            found |= rules(*faults, seed=seed, seconds=8.0, targets=8)
+        assert "ROUTE" in found
+
+
+def _arrive_beside(self: Targets, target: Any) -> None:
+    """The life that had the address before stays."""
+    self.known[target.id] = target
+    self._by_address[target.address] = target
+    self._changed(target)
+
+
+@test("a forwarder that goes back to an older version within its life")
+def _() -> None:
+    holds, keeps = Cairn._hold, Cairn.keep
+
+    def latest(self: Cairn, config: Any) -> None:
+        if self._files is not None:
+            return holds(self, config)
+        self.held = self.force = config
+        self.in_force(config)
+
+    async def scene(day: Day) -> None:
+        await day.start()
+        assert await day.operator.send(9)
+        await asyncio.sleep(1.0)
+        cairn = day.world.nodes["f0"].hut.cairn  # type: ignore[union-attr]
+        assert cairn.revision == 9
+        await cairn.keep(day.world.text(3, 800), ours=True)
+        if cairn.revision != 9:
+            day.world.history.breach("CONFIG", day.world.loop.time(), "it went back")
+
+    assert not play(Plan(3), scene)[1]
+
+    async def keep(self: Cairn, raw: bytes, ours: bool = False) -> Any:
+        if self._files is None:
+            self._held = (-1, "")
+        return await keeps(self, raw, ours)
+
+    with planted(Cairn, "_hold", latest), planted(Cairn, "keep", keep):
+        assert {b.rule for b in play(Plan(3), scene)[1]} >= {"CONFIG"}
