--- a/huts/weather/play.py
+++ b/huts/weather/play.py
@@ -56,7 +56,7 @@
         else:
             faults.append(Fault(at, "bad configuration"))
         at += chance.uniform(0.2, 2.0)
-    closing = chance.choice(("", "", "all kill", "all power", "wipe and power"))
+    closing = chance.choice(("", "", "all kill", "all power", "stores power", "wipe and power"))
     lost = max((f.at + f.seconds for f in faults if f.who.startswith("s")), default=-9.0)
     if closing == "wipe and power" and lost + 6.0 > seconds and not strange:
         closing = "all power"  # one loss at a time is borne, and one lasts until the machine is whole again
@@ -129,6 +129,10 @@
             case "all power" | "wipe and power":
                 for one in world.nodes.values():
                     one.power_off(fault.seconds, fault.what == "wipe and power" and one.name == fault.who)
+            case "stores power":  # forwarders go on, with nobody to hand messages to
+                for one in world.nodes.values():
+                    if one.store:
+                        one.power_off(fault.seconds)
             case "cut" if node is not None:
                 for other in world.nodes.values():
                     if other.store and other is not node:
