What was taken over and ended while a connection came up is not sent

It heard first that another holds the message, which leaves a call that is out alone, and then that it had ended, which frees the bytes; the connection came, and the call went out without them. Change: once a connection is there, a call asks whether its message is still ours; if not it is moot, as after a wait heard meanwhile. For the older programs the question is always answered yes. Test: both words come while a connection is slow; it fails without the question.

--- a/emberlatch/net/calls.py
+++ b/emberlatch/net/calls.py
@@ -185,6 +185,10 @@
     async def _prepare(self, target: Endpoint, call: Call) -> None:  # noqa: B027
         """What takes time ahead of a connection. OSError says that the call can't go out: it never ran."""
 
+    def _wanted(self, call: Call) -> bool:
+        """Whether it is still to be sent, now that a connection is there."""
+        return True
+
     async def _connect(self, target: Endpoint) -> Connection:
         return await connect(target.address, self._settings.connect_timeout)
 
@@ -230,7 +234,7 @@
             if not coming.done():
                 return None
             connection = coming.result()
-        if not (call.pending and self._open(target)):
+        if not (call.pending and self._open(target) and self._wanted(call)):
             # A wait or a drain was heard while the connection came up, or nobody waits any longer.
             self._keep(target, connection)
             call.settle_all(Result.MOOT)
--- a/huts/descent/carrier.py
+++ b/huts/descent/carrier.py
@@ -50,7 +50,8 @@
 
 
 class Carrier(Calls):
-    """`parcel` tells what a call carries, `verdict` hears what the answer says before its outcome is told."""
+    """`parcel` tells what a call carries, `wanted` whether it is still ours to send, `verdict` hears what the
+    answer says before its outcome is told."""
 
     def __init__(
         self,
@@ -60,9 +61,14 @@
         tasks: Tasks,
         parcel: Callable[[int, bytes], Parcel],
         verdict: Callable[[int, Verdict, str], None],
+        wanted: Callable[[int], bool],
     ) -> None:
         super().__init__(settings, most, report, tasks)
-        self._parcel, self._verdict = parcel, verdict
+        self._parcel, self._verdict, self._still = parcel, verdict, wanted
+
+    def _wanted(self, call: Call) -> bool:
+        """Another may have taken it over, and even ended it, while the connection came up."""
+        return self._still(call.items[0].ref)
 
     def _request(self, target: Endpoint, call: Call) -> bytes:
         parcel = self._parcel(call.items[0].ref, call.target)
--- a/huts/descent/descent.py
+++ b/huts/descent/descent.py
@@ -142,7 +142,9 @@
         self.closing = False
         self._settings = self._make_settings([])
         self._module = Forwarder(self._settings, seed)
-        self._carrier = Carrier(self._settings, connections, self._outcome, tasks, self._parcel, self._judged)
+        self._carrier = Carrier(
+            self._settings, connections, self._outcome, tasks, self._parcel, self._judged, self._still
+        )
 
     # What is known.
 
@@ -426,6 +428,10 @@
         instance = known.id if known is not None else "" if target.startswith(b"=") else target.decode()
         return Parcel(load.record, load.route.guard_timer_ms / 1000, instance)
 
+    def _still(self, ref: int) -> bool:
+        load = self._refs.get(ref)
+        return load is not None and self._ours(load.record)
+
     def _send(self, ref: int, target: bytes, timeout: float) -> None:
         load = self._refs.get(ref)
         if load is None or load.route is None:
--- a/tests/huts/test_state.py
+++ b/tests/huts/test_state.py
@@ -1,10 +1,12 @@
 """What the system's own state survives: freezes, cuts, machines that are replaced, added or retired."""
 
 import asyncio
+from typing import Any
 
 from ward import each, test
 
-from huts.refuge import Phase
+from huts.descent.carrier import Carrier
+from huts.refuge import Phase, State
 from huts.rope import peer
 from huts.weather.actors import Clients, ask
 from huts.weather.mending import measure
@@ -397,3 +399,29 @@
     small, large = measure(500, 20), measure(4000, 20)  # each asserts that what was lacking is there
     assert small.again_bytes == large.again_bytes < 1000
     assert large.bytes > large.least > 0
+
+
+@test(
+    "what another took over and ended while a connection came up is not sent, least of all without its bytes"
+)
+def _() -> None:
+    sound = Carrier._connect
+
+    async def slow(self: Carrier, target: Any) -> Any:
+        await asyncio.sleep(0.3)
+        return await sound(self, target)
+
+    async def scene(scene: Day) -> None:
+        await scene.start()
+        world = scene.world
+        sent = await hand_in(scene, body=b"a body")
+        stock = world.nodes["s0"].hut.keeper.stock
+        record = stock.shelf.records[sent.id]
+        await asyncio.sleep(0.05)
+        stock.merge(record, State.QUEUED, "", 2, "s1", 0)
+        stock.merge(record, State.DONE, "1.i-1", 2, "s1", 0)
+        await asyncio.sleep(2.0)
+        assert sent.id not in world.history.runs
+
+    with planted(Carrier, "_connect", slow):
+        assert not play(Plan(25), scene)[1]
