--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
-HUTS := $(wildcard tests/huts/test_*.py)
+CLUSTER_TESTS := $(wildcard tests/cluster/test_*.py)
 
-.PHONY: test huts $(HUTS)
+.PHONY: test cluster $(CLUSTER_TESTS)
 test:
 	ruff check .
 	ruff format --check .
 	mypy
-	$(MAKE) --no-print-directory -j4 -O huts
+	$(MAKE) --no-print-directory -j4 -O cluster
 	pytest -q -n auto --dist worksteal
 
-huts: $(HUTS)
+cluster: $(CLUSTER_TESTS)
 
-$(HUTS):
+$(CLUSTER_TESTS):
 	ward test --path $@
--- a/huts/caravan/caravan.py
+++ b/emberlatch/cluster/batch/sender.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from emberlatch.cluster.batch.progress import Progress
 from emberlatch.net.http import BrokenError, Response, connect
-from huts.caravan.progress import Progress
 
 MOST_ANSWER = 1 << 20
 PATIENCE = 2.0  # seconds for an answer
@@ -50,7 +50,7 @@
     seal: str = ""
 
 
-class Caravan:
+class BatchSender:
     """`fronts` are forwarders that may be asked, host and port; the route is a host name and a path."""
 
     def __init__(
--- a/huts/guide/__init__.py
+++ b/emberlatch/cluster/cli/__init__.py
@@ -1,5 +1,5 @@
-"""The operator's command line: imported where somebody types, never on a role's path."""
+"""The operator's command line: imported where somebody types, never on a node's path."""
 
-from huts.guide.main import main
+from emberlatch.cluster.cli.main import main
 
 __all__ = ["main"]
--- a/huts/guide/asking.py
+++ b/emberlatch/cluster/cli/asking.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from emberlatch.cluster.membership import Member
+from emberlatch.cluster.message_store import State
+from emberlatch.cluster.rpc import Lost, RpcConnection, TrafficCounters
 from emberlatch.engine import Tasks
-from huts.refuge import State
-from huts.register import Member
-from huts.rope import Lost, Strand, Tally
 
 PATIENCE = 1.5  # seconds for a store to connect and answer
 Address = tuple[str, int]
@@ -33,29 +33,29 @@
     return (host, int(port)) if host and port.isdigit() and 0 < int(port) < 65536 else None
 
 
-def _asked_nothing(strand: Strand, method: str, payload: Any) -> Any:
+def _asked_nothing(connection: RpcConnection, method: str, payload: Any) -> Any:
     raise ValueError(f"{method}: nothing is served here")
 
 
 async def ask(at: Address, *questions: tuple[str, Any]) -> list[Any]:
     """Ask a process on the port for other processes; Lost says at which step there was no answer."""
     loop, peer = asyncio.get_running_loop(), f"{at[0]}:{at[1]}"
-    step, strand = "connect", None
+    step, connection = "connect", None
     try:
         async with asyncio.timeout(PATIENCE):
-            _, strand = await loop.create_connection(
-                lambda: Strand(_asked_nothing, Tasks(), Tally(), peer), *at
+            _, connection = await loop.create_connection(
+                lambda: RpcConnection(_asked_nothing, Tasks(), TrafficCounters(), peer), *at
             )
             answers = []
             for method, payload in questions:
                 step = method
-                answers.append(await strand.ask(method, payload))
+                answers.append(await connection.ask(method, payload))
             return answers
     except (OSError, TimeoutError) as error:
         raise Lost(step, peer, str(error) or "no answer in time", step != "connect") from None
     finally:
-        if strand is not None:
-            strand.leave()
+        if connection is not None:
+            connection.leave()
 
 
 async def look(at: Address, id: str = "") -> list[Told]:
--- a/huts/guide/batch.py
+++ b/emberlatch/cluster/cli/batch.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from huts.caravan import Caravan, Progress
+from emberlatch.cluster.batch import BatchSender, Progress
 
 
 def send(file: Path, to: str, fronts: list[str], per_s: float, progress: Path | None) -> int:
@@ -15,7 +15,7 @@
     addresses = [(h, int(p)) for h, _, p in (front.rpartition(":") for front in fronts) if p.isdigit()]
     if not host or not slash or len(addresses) < max(1, len(fronts)) or per_s <= 0:
         print(
-            "huts batch: wanted: HOST/PATH, HOST:PORT of forwarders, a rate over 0",
+            "emberlatch-cluster batch: wanted: HOST/PATH, HOST:PORT of forwarders, a rate over 0",
             file=sys.stderr,
         )
         return 2
@@ -25,13 +25,13 @@
         print(f"{file}:0: can't be read: {error.strerror}", file=sys.stderr)
         return 2
     kept = Progress(progress or file.with_name(file.name + ".progress"))
-    caravan = Caravan(file.stem, bodies, host, slash + path, addresses, kept)
-    print(f"{len(bodies)} messages, {dict(caravan.counts())}")
-    asyncio.run(caravan.work(per_s))
+    sender = BatchSender(file.stem, bodies, host, slash + path, addresses, kept)
+    print(f"{len(bodies)} messages, {dict(sender.counts())}")
+    asyncio.run(sender.work(per_s))
     kept.close()
-    counts = caravan.counts()
+    counts = sender.counts()
     print(dict(counts))
-    for item in caravan.items:
+    for item in sender.items:
         if item.step.value not in ("completed",):
             print(f"line {item.number + 1}: {item.step.value} under {item.id}")
     return 0 if counts["completed"] == len(bodies) else 1
--- a/huts/guide/checks.py
+++ b/emberlatch/cluster/cli/checks.py
@@ -8,8 +8,8 @@
 
 from expression import Result
 
-from huts.events import TEXTS
-from huts.waymark import SettingsError, read_boot, read_configuration
+from emberlatch.cluster.events import TEXTS
+from emberlatch.cluster.settings import SettingsError, read_configuration, read_settings
 
 
 def check(files: list[Path]) -> int:
@@ -18,7 +18,7 @@
     for path in files:
         if path.suffix == ".toml":
             try:
-                read_boot(path)
+                read_settings(path)
             except SettingsError as error:
                 faults.append(str(error))
             continue
@@ -55,7 +55,8 @@
         for event, (level, text, why) in TEXTS.items()
     ]
     head = (
-        "# Events\n\nMade by `huts events`. Each line of a log is `LEVEL NUMBER text what it concerns`.\n\n"
+        "# Events\n\nMade by `emberlatch-cluster events`. "
+        "Each line of a log is `LEVEL NUMBER text what it concerns`.\n\n"
     )
     return (
         head
--- a/huts/guide/copying.py
+++ b/emberlatch/cluster/cli/copying.py
@@ -16,10 +16,10 @@
 import cbor2
 from expression import Result
 
-from huts.cairn import WordFiles
-from huts.refuge import Ledger, Record, State
-from huts.register import rank
-from huts.waymark import read_configuration
+from emberlatch.cluster.config_store import ConfigFiles
+from emberlatch.cluster.membership import rank
+from emberlatch.cluster.message_store import Record, RecordDatabase, State
+from emberlatch.cluster.settings import read_configuration
 
 FORMAT = 1
 
@@ -56,7 +56,7 @@
                 known.merge(record.state, record.seal, record.epoch, record.holder, record.attempts)
                 known.body = known.body if known.body is not None else record.body
                 known.host, known.path = known.host or record.host, known.path or record.path
-        raw = WordFiles(folder / "word").newest() if (folder / "word").is_dir() else None
+        raw = ConfigFiles(folder / "word").newest() if (folder / "word").is_dir() else None
         match read_configuration(raw) if raw is not None else None:
             case Result(tag="ok", ok=config) if word is None or config.revision > word[0]:
                 word = config.revision, config.raw
@@ -135,20 +135,20 @@
     except BadCopy as bad:
         print(bad, file=sys.stderr)
         return 1
-    ledger = Ledger(into / "records.db", _never, lambda: 0.0, lambda error: None)
+    database = RecordDatabase(into / "records.db", _never, lambda: 0.0, lambda error: None)
     ours = 0
     for record in records:
-        keepers = sorted(nodes, key=lambda name: -rank(record.id, name))[:copies]
-        if node in keepers:
+        replicas = sorted(nodes, key=lambda name: -rank(record.id, name))[:copies]
+        if node in replicas:
             ours += 1
-            record.keepers, record.holder, record.epoch = tuple(keepers), keepers[0], record.epoch + 1
-            ledger.put(record, 0.0)
-    ledger.note("life", 1)
-    ledger.close()
+            record.replicas, record.holder, record.epoch = tuple(replicas), replicas[0], record.epoch + 1
+            database.put(record, 0.0)
+    database.note("life", 1)
+    database.close()
     if word is not None:
         match read_configuration(word):
             case Result(tag="ok", ok=config):
-                WordFiles(into / "word").write(config.revision, word)
+                ConfigFiles(into / "word").write(config.revision, word)
             case Result(error=reason):
                 print(f"{path}: the word in it is not valid: {reason}", file=sys.stderr)
                 return 1
--- a/huts/guide/disk.py
+++ b/emberlatch/cluster/cli/disk.py
@@ -10,9 +10,9 @@
 import cbor2
 from expression import Result
 
-from huts.cairn import WordFiles
-from huts.refuge import Record, State
-from huts.waymark import read_configuration
+from emberlatch.cluster.config_store import ConfigFiles
+from emberlatch.cluster.message_store import Record, State
+from emberlatch.cluster.settings import read_configuration
 
 
 def show(folder: Path, verify: bool) -> int:
@@ -46,7 +46,7 @@
         + f" body_bytes={size}"
     )
     print("held by  " + " ".join(f"{name}={count}" for name, count in sorted(holders.items()) if count))
-    raw = WordFiles(folder / "word").newest() if (folder / "word").is_dir() else None
+    raw = ConfigFiles(folder / "word").newest() if (folder / "word").is_dir() else None
     match read_configuration(raw) if raw is not None else None:
         case Result(tag="ok", ok=config):
             counts = f"routes={len(config.route_entries)} services={len(config.services)}"
--- a/huts/guide/growth.py
+++ b/emberlatch/cluster/cli/growth.py
@@ -6,8 +6,8 @@
 import logging
 import sys
 
-from huts.weather import mending
-from huts.weather.growth import Growth, measure
+from emberlatch.simulation import mending
+from emberlatch.simulation.growth import Growth, measure
 
 HEAD = "forwarders stores  start MB  frames/s  of one  over kB/s  known s  cpu s/s"
 
--- a/huts/guide/main.py
+++ b/emberlatch/cluster/cli/main.py
@@ -1,4 +1,4 @@
-"""`huts`: check files, try the system on one machine, look into a disk, play weather."""
+"""`emberlatch-cluster`: check files, try the system on one machine, look into a disk, simulate clusters."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import cappa
 
-from huts.guide import asking, batch, checks, copying, disk, growth, trying, weather
+from emberlatch.cluster.cli import asking, batch, checks, copying, disk, growth, simulate, trying
 
 
 @cappa.command(name="check", help="Check a settings file (.toml) or an operator's configuration (.json).")
@@ -100,9 +100,9 @@
         raise cappa.Exit(code=trying.run(self.seconds, self.per_s, self.kill, self.rolled))
 
 
-@cappa.command(name="weather", help="Play drawn days of simulated clusters, and hold them to the rules.")
+@cappa.command(name="simulate", help="Play drawn days of simulated clusters, and hold them to the rules.")
 @dataclass
-class Weather:
+class Simulate:
     """Exit code 1 if a rule was broken; the seed plays the same day again."""
 
     seed: Annotated[int, cappa.Arg(long=True, help="the first seed")] = 1
@@ -117,7 +117,9 @@
 
     def __call__(self) -> None:
         raise cappa.Exit(
-            code=weather.run(self.seed, self.days, self.jobs, self.log, self.strange, self.large, self.shrink)
+            code=simulate.run(
+                self.seed, self.days, self.jobs, self.log, self.strange, self.large, self.shrink
+            )
         )
 
 
@@ -192,16 +194,16 @@
         raise cappa.Exit(code=asking.run(self.at, self.id, self.json))
 
 
-@cappa.command(name="huts", help="A whole ingest and dispatch service.")
+@cappa.command(name="emberlatch-cluster", help="A whole ingest and dispatch service.")
 @dataclass
-class Huts:
+class ClusterCommands:
     """The commands."""
 
     command: cappa.Subcommands[
-        Batch | Check | Events | GrowthOf | MendingOf | StateOf | Status | Try | Weather | Why
+        Batch | Check | Events | GrowthOf | MendingOf | StateOf | Status | Try | Simulate | Why
     ]
 
 
 def main() -> None:
     """Parse and run."""
-    cappa.invoke(Huts)
+    cappa.invoke(ClusterCommands)
--- a/huts/guide/weather.py
+++ b/emberlatch/cluster/cli/simulate.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from functools import partial
 
-from huts.weather import Plan, draw, play
+from emberlatch.simulation import Plan, draw, play
 
 
 def judge(seed: int, strange: bool, large: bool) -> tuple[int, int, list[str]]:
--- a/huts/guide/trying.py
+++ b/emberlatch/cluster/cli/trying.py
@@ -24,12 +24,13 @@
 
 from emberlatch.faults.loop import Process
 from emberlatch.net.http import BrokenError
-from huts.weather.actors import Clients, Operator, ask
-from huts.weather.history import History
-from huts.weather.mountain import Mountain, Plan
+from emberlatch.simulation.actors import Clients, Operator, ask
+from emberlatch.simulation.cluster import Plan, SimulatedCluster
+from emberlatch.simulation.history import History
 
 CONTROL, FRONT, READY, INNER = range(4)
-HERE = Path(__file__).resolve().parents[2]  # this checkout
+HERE = Path(__file__).resolve().parents[3]  # this checkout
+PROGRAMS = "emberlatch.cluster", "huts"  # packages that start a node; the second in older checkouts
 GRACE = 6.0  # seconds from SIGTERM to SIGKILL
 
 
@@ -42,14 +43,22 @@
     return ports
 
 
-class Yard(Mountain):
+def _program(checkout: Path) -> str | None:
+    """The package that starts a node from a checkout; None if it is no checkout of this program."""
+    for package in PROGRAMS:
+        if checkout.joinpath(*package.split("."), "__main__.py").exists():
+            return package
+    return None
+
+
+class LoopbackCluster(SimulatedCluster):
     """Stands in for the simulated world on real loopback addresses."""
 
     def __init__(self, per_s: float, seconds: float) -> None:
         self.plan = Plan(random.randrange(1 << 30), per_s=per_s, seconds=seconds)
         self.random, self.history, self.count = random.Random(), History(), 0
         self.beat_s, self.drain_s, self.early_s = 1.2, 3.0, 0.1
-        self.folder = Path(tempfile.mkdtemp(prefix="huts-try-"))
+        self.folder = Path(tempfile.mkdtemp(prefix="emberlatch-try-"))
         self.ports = _ports(4)
         self.hosts = {f"store-{n}": f"127.0.1.{n + 1}" for n in range(3)}
         self.hosts |= {f"front-{n}": f"127.0.2.{n + 1}" for n in range(2)}
@@ -72,7 +81,9 @@
         return asyncio.get_running_loop().create_task(work)
 
     def start(self, name: str, first: bool) -> None:
-        """Start a role as a process of its own."""
+        """Start a node as a process of its own."""
+        program = _program(self.checkout)
+        assert program is not None, f"{self.checkout} is no checkout of this program"
         store, host = name.startswith("store"), self.hosts[name]
         seeds = ",".join(
             f'"{h}:{self.ports[CONTROL]}"' for n, h in self.hosts.items() if n.startswith("store")
@@ -102,7 +113,7 @@
         settings.write_text("\n".join(lines) + "\n")
         with (self.folder / f"{name}.log").open("ab") as out:
             self.running[name] = subprocess.Popen(
-                [sys.executable, "-m", "huts"],
+                [sys.executable, "-m", program],
                 env=os.environ | {"EMBERLATCH_BOOT": str(settings), "PYTHONPATH": str(self.checkout)},
                 cwd=self.checkout,
                 stderr=out,
@@ -183,77 +194,78 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def _begin(yard: Yard) -> bool:
+async def _begin(cluster: LoopbackCluster) -> bool:
     """Start everything; whether it became ready."""
-    for name in yard.hosts:
-        yard.start(name, True)
+    for name in cluster.hosts:
+        cluster.start(name, True)
     for n in range(4):
-        await yard.add_target(yard.services[n % 2], "here", ("127.0.3.1", _ports(1)[0]))
-    if not await Operator(yard).send(3) or not await yard.ready():
+        await cluster.add_target(cluster.services[n % 2], "here", ("127.0.3.1", _ports(1)[0]))
+    if not await Operator(cluster).send(3) or not await cluster.ready():
         print("the system did not become ready", file=sys.stderr)
         return False
     await asyncio.sleep(1.5)  # until each target has announced itself
-    print(f"it serves; look at it with: huts status {yard.hosts['store-0']}:{yard.ports[INNER]}")
+    address = f"{cluster.hosts['store-0']}:{cluster.ports[INNER]}"
+    print(f"it serves; look at it with: emberlatch-cluster status {address}")
     return True
 
 
-async def _run(yard: Yard, kill: bool) -> int:
-    if not await _begin(yard):
+async def _run(cluster: LoopbackCluster, kill: bool) -> int:
+    if not await _begin(cluster):
         return 1
-    handing = asyncio.create_task(Clients(yard, "here", yard.plan.per_s).run(yard.plan.seconds))
+    handing = asyncio.create_task(Clients(cluster, "here", cluster.plan.per_s).run(cluster.plan.seconds))
     began, told = asyncio.get_running_loop().time(), 0
     while not handing.done():
         await asyncio.sleep(1.0)
         told += 1
-        if kill and told == max(1, int(yard.plan.seconds / 2)):
-            yard.history.faults.append(asyncio.get_running_loop().time() - 0.1)
-            yard.running["store-0"].send_signal(signal.SIGKILL)
-            yard.running["store-0"].wait()
-            yard.start("store-0", False)
+        if kill and told == max(1, int(cluster.plan.seconds / 2)):
+            cluster.history.faults.append(asyncio.get_running_loop().time() - 0.1)
+            cluster.running["store-0"].send_signal(signal.SIGKILL)
+            cluster.running["store-0"].wait()
+            cluster.start("store-0", False)
             print("store-0 was killed, and is started again")
-        answers = Counter(s.answer for s in yard.history.sent.values() if s.at >= began + told - 1)
-        runs = sum(r.at >= began + told - 1 for of in yard.history.runs.values() for r in of)
+        answers = Counter(s.answer for s in cluster.history.sent.values() if s.at >= began + told - 1)
+        runs = sum(r.at >= began + told - 1 for of in cluster.history.runs.values() for r in of)
         print(f"second {told:3d}: answers {dict(answers)}, runs {runs}")
-    return await _sum_up(yard, handing)
+    return await _sum_up(cluster, handing)
 
 
-async def _roll(yard: Yard, other: Path) -> int:
-    yard.checkout = other
-    if not await _begin(yard):
+async def _roll(cluster: LoopbackCluster, other: Path) -> int:
+    cluster.checkout = other
+    if not await _begin(cluster):
         return 1
-    handing = asyncio.create_task(Clients(yard, "here", yard.plan.per_s).run(1e6))
+    handing = asyncio.create_task(Clients(cluster, "here", cluster.plan.per_s).run(1e6))
     await asyncio.sleep(2.0)
     for checkout in (HERE, other):
-        await yard.roll(checkout)
+        await cluster.roll(checkout)
     handing.cancel()
-    return await _sum_up(yard, handing)
+    return await _sum_up(cluster, handing)
 
 
-async def _sum_up(yard: Yard, handing: asyncio.Task[None]) -> int:
+async def _sum_up(cluster: LoopbackCluster, handing: asyncio.Task[None]) -> int:
     """What became of everything; 1 if something was lost or a rule broken."""
     with contextlib.suppress(asyncio.CancelledError):
         await handing
     await asyncio.sleep(3.0)
-    answers = Counter(s.answer for s in yard.history.sent.values())
+    answers = Counter(s.answer for s in cluster.history.sent.values())
     print(f"answers {dict(answers)} (0: none)")
-    accepted = [s.id for s in yard.history.sent.values() if s.answer == 202]
-    states = Counter([await yard.state(id) for id in accepted])
-    again = sum(len([r for r in runs if r.status == 200]) > 1 for runs in yard.history.runs.values())
+    accepted = [s.id for s in cluster.history.sent.values() if s.answer == 202]
+    states = Counter([await cluster.state(id) for id in accepted])
+    again = sum(len([r for r in runs if r.status == 200]) > 1 for runs in cluster.history.runs.values())
     print(f"accepted {len(accepted)}: {dict(states)}; run again after a success: {again}")
-    for breach in yard.history.breaches:
+    for breach in cluster.history.breaches:
         print(f"{breach.at:.2f} broken: {breach.rule}: {breach.text}")
-    return 1 if yard.history.breaches or states["unknown"] else 0
+    return 1 if cluster.history.breaches or states["unknown"] else 0
 
 
 def run(seconds: float, per_s: float, kill: bool, other: Path | None) -> int:
     """Try it, or a roll-out from another checkout and back; 1 if something was lost or a rule broken, 2 if
     that is none."""
     logging.basicConfig(level=logging.ERROR)
-    if other is not None and not (other / "huts" / "__main__.py").exists():
+    if other is not None and _program(other) is None:
         print(f"{other}: no checkout of this program", file=sys.stderr)
         return 2
-    yard = Yard(per_s, seconds)
+    cluster = LoopbackCluster(per_s, seconds)
     try:
-        return asyncio.run(_run(yard, kill) if other is None else _roll(yard, other.resolve()))
+        return asyncio.run(_run(cluster, kill) if other is None else _roll(cluster, other.resolve()))
     finally:
-        yard.end()
+        cluster.end()
--- a/huts/cairn/files.py
+++ b/emberlatch/cluster/config_store/files.py
@@ -7,7 +7,7 @@
 import re
 from pathlib import Path
 
-from huts.events import Event, say
+from emberlatch.cluster.events import Event, log_event
 
 KEPT = 3  # versions that stay on disk
 _NAME = re.compile(r"word-(\d{20})-([0-9a-f]{16})\.json")
@@ -37,7 +37,7 @@
         os.close(folder)
 
 
-class WordFiles:
+class ConfigFiles:
     """The versions of the operator's word in one folder."""
 
     def __init__(self, folder: Path) -> None:
@@ -54,7 +54,7 @@
             raw = path.read_bytes()
             if digest(raw) == told:
                 return raw
-            say(Event.CONFIG_UNREADABLE, path.name)
+            log_event(Event.CONFIG_UNREADABLE, path.name)
         return None
 
     def write(self, revision: int, raw: bytes) -> None:
--- a/huts/cairn/cairn.py
+++ b/emberlatch/cluster/config_store/store.py
@@ -14,18 +14,18 @@
 
 from expression import Error, Ok, Result
 
+from emberlatch.cluster.config_store.files import ConfigFiles, digest
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.rpc import Lost, Peer
+from emberlatch.cluster.settings import Configuration, Fault, read_configuration
 from emberlatch.engine import Tasks
 from emberlatch.store import Offload
-from huts.cairn.files import WordFiles, digest
-from huts.events import Event, say
-from huts.rope import Lost, Peer
-from huts.waymark import Configuration, Fault, read_configuration
 
 SPREAD = 0.6  # seconds for another store to say that it has a version
 PATIENCE = 0.8  # seconds that an operator waits for an acknowledgement
 
 
-class Cairn:
+class ConfigStore:
     """`enough` says whether these nodes' disks bear what may be lost; `others` are the stores that are up.
 
     Without `files` this process keeps no disk: it takes what stands elsewhere.
@@ -34,7 +34,7 @@
     def __init__(
         self,
         me: str,
-        files: WordFiles | None,
+        files: ConfigFiles | None,
         offload: Offload,
         tasks: Tasks,
         enough: Callable[[Iterable[str]], bool],
@@ -88,7 +88,7 @@
         have = [node for node, has in self._have.items() if has == self._held or has[0] > held.revision]
         if self._files is None or self._enough(have):
             self.force, self._force = held, self._held
-            say(Event.CONFIG_TAKEN, f"revision={held.revision}")
+            log_event(Event.CONFIG_TAKEN, f"revision={held.revision}")
             self.in_force(held)
         self._changed.set()
         self._changed = asyncio.Event()
@@ -135,7 +135,7 @@
         """An operator sends a version: the one that stands now, once that is at least as high."""
         match await self.keep(raw):
             case Result(tag="error", error=reason):
-                say(Event.CONFIG_REFUSED, reason)
+                log_event(Event.CONFIG_REFUSED, reason)
                 return Error(Fault("check", self._me, reason))
             case Result(ok=config):
                 wanted = config.revision
@@ -152,7 +152,7 @@
                 break
         if self.revision < wanted:
             return Error(Fault("spread", self._me, "too few disks have it yet"))
-        say(Event.CONFIG_STANDS, f"revision={self.revision}")
+        log_event(Event.CONFIG_STANDS, f"revision={self.revision}")
         return Ok(self.revision)
 
     async def _spread(self, peer: Peer) -> None:
--- a/huts/trailhead/desk.py
+++ b/emberlatch/cluster/control_api/api.py
@@ -12,20 +12,20 @@
 
 from expression import Result
 
+from emberlatch.cluster.config_store import ConfigStore
+from emberlatch.cluster.control_api.answer import Answer
+from emberlatch.cluster.discovery import BadBeat, Target, Targets
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.rpc import Lost, Peer
+from emberlatch.cluster.settings.configuration import MOST_BYTES
 from emberlatch.net.server import Reply, Request
-from huts.cairn import Cairn
-from huts.events import Event, say
-from huts.lookout import BadBeat, Target, Targets
-from huts.rope import Lost, Peer
-from huts.trailhead.answer import Answer
-from huts.waymark.configuration import MOST_BYTES
 
 SPREAD = 0.35  # seconds that an acknowledgement of a leaving target waits for the others to know
 READ = 0.6  # seconds for the others to tell which configuration they have
 PASS_ON = 0.9  # seconds for another process to settle a call
 
 
-class Clerk(Protocol):
+class CallHandler(Protocol):
     """Settles calls."""
 
     async def settle(self, method: str, segments: list[str], body: bytes) -> Answer:
@@ -42,22 +42,22 @@
         """How far it is."""
 
 
-class Desk:
+class ControlApi:
     """The control address."""
 
-    def __init__(self, clerk: Clerk) -> None:
-        self._clerk = clerk
+    def __init__(self, call_handler: CallHandler) -> None:
+        self._call_handler = call_handler
 
     async def handle(self, request: Request, reply: Reply) -> None:
         """Answer one request."""
         path = request.path.decode("latin-1").partition("?")[0]
-        answer = await self._clerk.settle(
+        answer = await self._call_handler.settle(
             request.method.decode("latin-1"), path.strip("/").split("/"), bytes(request.body)
         )
         reply.send(answer.status, 0.2 if answer.status == 503 else None, answer.body)
 
 
-class Passer:
+class ForwardingHandler:
     """Passes calls on to the processes that keep the state."""
 
     def __init__(self, stores: Callable[[], list[Peer]]) -> None:
@@ -77,7 +77,7 @@
     """What settling calls needs of a process that keeps the state."""
 
     @property
-    def cairn(self) -> Cairn:
+    def config_store(self) -> ConfigStore:
         """The operator's word."""
 
     @property
@@ -101,12 +101,17 @@
         """Whether this process is not cut off from the others."""
 
 
-class Settler:
+class LocalHandler:
     """Settles calls on a machine with a disk."""
 
     def __init__(self, home: Home) -> None:
         assert home.targets is not None
-        self._home, self._cairn, self._targets, self._retire = home, home.cairn, home.targets, home.retire
+        self._home, self._config_store, self._targets, self._retire = (
+            home,
+            home.config_store,
+            home.targets,
+            home.retire,
+        )
 
     async def settle(self, method: str, segments: list[str], body: bytes) -> Answer:
         match method, segments:
@@ -134,7 +139,7 @@
             told = json.loads(body)
             target, news = self._targets.beat(id, told, asyncio.get_running_loop().time())
         except (BadBeat, ValueError, RecursionError) as error:
-            say(Event.BEAT_BAD, str(error)[:200])
+            log_event(Event.BEAT_BAD, str(error)[:200])
             return Answer.cause(400, str(error)[:200])
         await self._tell(target, news)
         return Answer(200, b"{}")
@@ -159,7 +164,7 @@
     async def _replace(self, body: bytes) -> Answer:
         if len(body) > MOST_BYTES:
             return Answer.cause(413, "too long")
-        match await self._cairn.take(body):
+        match await self._config_store.take(body):
             case Result(tag="ok"):
                 return Answer(200, b"{}")
             case Result(error=fault):
@@ -174,7 +179,7 @@
         heard = [v for v in versions if isinstance(v, list)]
         if not self._home.whole() or len(heard) < self._home.needed():
             return Answer.cause(503, "too few machines with a disk can be reached")
-        if any(v[0] > self._cairn.newest for v in heard):
+        if any(v[0] > self._config_store.newest for v in heard):
             return Answer.cause(503, "a newer one is on its way")
-        config = self._cairn.held
+        config = self._config_store.held
         return Answer(200, config.raw) if config is not None else Answer.cause(404, "none yet")
--- /dev/null
+++ b/emberlatch/cluster/decommission/__init__.py
@@ -0,0 +1,5 @@
+"""Retirement of a machine: its work is carried to the others, and then it is not needed any more."""
+
+from emberlatch.cluster.decommission.decommissions import Decommissions, Mark
+
+__all__ = ["Decommissions", "Mark"]
--- a/huts/retire/retirement.py
+++ b/emberlatch/cluster/decommission/decommissions.py
@@ -13,11 +13,11 @@
 from enum import IntEnum
 from typing import Any, Protocol
 
+from emberlatch.cluster.control_api.answer import Answer
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store import Phase, Replicator
+from emberlatch.cluster.rpc import Lost, Peer
 from emberlatch.engine import Tasks
-from huts.events import Event, say
-from huts.refuge import Keeper, Phase
-from huts.rope import Lost, Peer
-from huts.trailhead.answer import Answer
 
 SPREAD = 0.6  # seconds for another store to have a mark on its disk
 LOOK = 0.1  # seconds between two looks whether it is empty
@@ -33,7 +33,7 @@
 class Place(Protocol):
     """What a retirement needs of its process."""
 
-    keeper: Keeper | None
+    replicator: Replicator | None
 
     def enough(self, nodes: Iterable[str]) -> bool:
         """Whether these machines' disks bear what may be lost."""
@@ -48,7 +48,7 @@
         """Those that take copies."""
 
 
-class Retirements:
+class Decommissions:
     """See the module."""
 
     def __init__(self, me: str, tasks: Tasks, place: Place) -> None:
@@ -69,11 +69,11 @@
         if mark <= self.marks.get(node, 0):
             return False
         self.marks[node] = mark
-        say(Event.RETIRE_MARKED if mark is Mark.MARKED else Event.RETIRE_DONE, node)
-        keeper = self._place.keeper
-        if keeper is not None:
-            keeper.stock.ledger.note("retire", self.told())
-            keeper.stock.ledger.settle()
+        log_event(Event.RETIRE_MARKED if mark is Mark.MARKED else Event.RETIRE_DONE, node)
+        replicator = self._place.replicator
+        if replicator is not None:
+            replicator.local_store.database.note("retire", self.told())
+            replicator.local_store.database.settle()
         if node == self._me and mark is Mark.MARKED:
             self._begin()
         return True
@@ -99,8 +99,8 @@
     async def kept(self, told: dict[str, int]) -> bool:
         """Another store sends marks; true once they are on our disk."""
         self.heard(told)
-        if self._place.keeper is not None:
-            await self._place.keeper.settled()
+        if self._place.replicator is not None:
+            await self._place.replicator.settled()
         return True
 
     async def _spread(self) -> bool:
@@ -110,8 +110,8 @@
             *(p.ask("retire", self.told(), SPREAD) for p in peers), return_exceptions=True
         )
         have = [p.name for p, answer in zip(peers, told, strict=True) if answer is True]
-        if self._place.keeper is not None:
-            await self._place.keeper.settled()
+        if self._place.replicator is not None:
+            await self._place.replicator.settled()
         return self._place.enough([self._me, *have])
 
     # The operator's calls.
@@ -151,31 +151,31 @@
     # The work, on the machine itself.
 
     def _begin(self) -> None:
-        keeper = self._place.keeper
-        if keeper is not None and not self._working:
+        replicator = self._place.replicator
+        if replicator is not None and not self._working:
             self._working = True
-            self._tasks.spawn(self._work(keeper))
+            self._tasks.spawn(self._work(replicator))
 
-    async def _work(self, keeper: Keeper) -> None:
-        while keeper.phase is Phase.STARTING:
+    async def _work(self, replicator: Replicator) -> None:
+        while replicator.phase is Phase.STARTING:
             await asyncio.sleep(LOOK)
-        keeper.become(Phase.RETIRING)
-        while not await self._emptied(keeper):
+        replicator.become(Phase.RETIRING)
+        while not await self._emptied(replicator):
             await asyncio.sleep(LOOK)
         self._become(self._me, Mark.EMPTY)
         while not await self._spread():
             await asyncio.sleep(LOOK)
 
-    async def _emptied(self, keeper: Keeper) -> bool:
+    async def _emptied(self, replicator: Replicator) -> bool:
         """A step of the work; whether nothing is left to do."""
         try:
-            if records := keeper.stock.deliverer.idle():
-                await keeper.holding.hand_over(records)
+            if records := replicator.local_store.deliverer.idle():
+                await replicator.ownership.hand_over(records)
             counted = {peer.name for peer in self._place.able_stores()}
-            alone = keeper.repair.alone(counted)
+            alone = replicator.repair.alone(counted)
             alone.sort(key=lambda record: not record.open)  # what has not ended goes first
-            await keeper.repair.copy_out(alone[:500], counted)
-            left = keeper.repair.alone({peer.name for peer in self._place.able_stores()})
-            return not (left or keeper.busy or keeper.stock.shelf.held(self._me))
+            await replicator.repair.copy_out(alone[:500], counted)
+            left = replicator.repair.alone({peer.name for peer in self._place.able_stores()})
+            return not (left or replicator.busy or replicator.local_store.index.held(self._me))
         except Lost:
             return False
--- a/huts/lookout/__init__.py
+++ b/emberlatch/cluster/discovery/__init__.py
@@ -1,5 +1,5 @@
 """Which targets there are: beats, draining, gone."""
 
-from huts.lookout.targets import BadBeat, Target, Targets, TargetState
+from emberlatch.cluster.discovery.targets import BadBeat, Target, Targets, TargetState
 
 __all__ = ["BadBeat", "Target", "TargetState", "Targets"]
--- a/huts/lookout/targets.py
+++ b/emberlatch/cluster/discovery/targets.py
@@ -14,7 +14,7 @@
 from enum import IntEnum
 from typing import Any
 
-from huts.events import Event, say
+from emberlatch.cluster.events import Event, log_event
 
 BEATS = 3.2  # beats missed after which a target is taken for gone
 REMEMBERED = 60.0  # seconds for which one that is gone is known, so that late news does not bring it back
@@ -140,7 +140,7 @@
         if before is not None:  # another life, perhaps of another service, has its address
             self._become(before, TargetState.GONE)
         self._by_address[target.address] = target
-        say(
+        log_event(
             Event.TARGET_NEW,
             target.id,
             target.service,
@@ -154,7 +154,7 @@
         if state <= target.state:
             return
         target.state = state
-        say(Event.TARGET_GONE if state is TargetState.GONE else Event.TARGET_DRAINING, target.id)
+        log_event(Event.TARGET_GONE if state is TargetState.GONE else Event.TARGET_DRAINING, target.id)
         if state is TargetState.GONE and self._by_address.get(target.address) is target:
             del self._by_address[target.address]
         self._changed(target)
@@ -162,7 +162,7 @@
     def _hush(self, target: Target, silent: bool) -> None:
         """The one place in which the opinion changes."""
         target.silent = silent
-        say(Event.TARGET_SILENT if silent else Event.TARGET_BACK, target.id)
+        log_event(Event.TARGET_SILENT if silent else Event.TARGET_BACK, target.id)
         self._changed(target)
 
     def wrong(self, id: str, now: float) -> None:
--- a/huts/descent/carrier.py
+++ b/emberlatch/cluster/dispatch/carrier.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store import Record
 from emberlatch.core.interface import Outcome, Result, Settings
 from emberlatch.engine import Tasks
 from emberlatch.net.calls import Call, Calls, Endpoint, seconds
 from emberlatch.net.http import Response
-from huts.events import Event, say
-from huts.refuge import Record
 
 MOST_ANSWER = 4 * 1024 * 1024  # bytes; a longer one is none
 
@@ -90,7 +90,7 @@
         verdict = _verdict(response.status, seal, "emberlatch-not-executed" in headers)
         hold = seconds(headers.get("retry-after")) if verdict is Verdict.FULL else 0.0
         if verdict is Verdict.UNKNOWN:
-            say(Event.ANSWER_ODD, call.target.decode(), f"status={response.status}")
+            log_event(Event.ANSWER_ODD, call.target.decode(), f"status={response.status}")
         self._verdict(ref, verdict, seal)
         result, closed = RESULTS[verdict]
         if response.status == 504 and verdict is Verdict.UNKNOWN:
--- a/huts/descent/descent.py
+++ b/emberlatch/cluster/dispatch/dispatcher.py
@@ -16,15 +16,15 @@
 from enum import Enum
 from typing import Any
 
+from emberlatch.cluster.discovery import Target, TargetState
+from emberlatch.cluster.dispatch.carrier import Carrier, Parcel, Verdict
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store import Record, State
+from emberlatch.cluster.rate_limits import RateShare
+from emberlatch.cluster.settings import Configuration, Route, Service
 from emberlatch.core import interface as api
 from emberlatch.core.rules import Forwarder
 from emberlatch.engine import Item, Tasks
-from huts.descent.carrier import Carrier, Parcel, Verdict
-from huts.events import Event, say
-from huts.lookout import Target, TargetState
-from huts.rations import Ration
-from huts.refuge import Record, State
-from huts.waymark import Configuration, Route, Service
 
 WINDOW = 48  # messages of one destination that the module has before it at once
 SLOTS = 192  # calls out at once
@@ -99,7 +99,7 @@
         return None
 
 
-class Descent:
+class Dispatcher:
     """See the module. `ours` says whether this process holds a message; `finish` takes an end, `wrong` an
     instance that is not where it was; `may_send` says whether nobody else can hold what we hold; `parts` by
     how many a service's limit is shared; `window` is the rule of limits: its seconds, and the excess that it
@@ -135,7 +135,7 @@
         self._places: dict[int, tuple[str, int]] = {}
         self._targets: dict[bytes, Target] = {}
         self._entries: dict[bytes, api.Entry] = {}
-        self._rations: dict[str, Ration] = {}
+        self._rate_shares: dict[str, RateShare] = {}
         self._classes: dict[tuple[float, float], int] = {}
         self._events: list[api.Event] = []
         self._turning = False
@@ -304,7 +304,7 @@
         path = record.path.partition("?")[0]
         route = config.route(record.host, path)
         if route is None:
-            say(Event.ENDED_DEAD, record.id, "its route is gone")
+            log_event(Event.ENDED_DEAD, record.id, "its route is gone")
             self._loads.pop(record.id, None)
             return self._finish(record, State.DEAD, "")
         load.route = route
@@ -344,10 +344,10 @@
 
     def _within(self, service: Service, queue: Queue, now: float) -> bool:
         """Whether the limit's share has room for one more beside what is on its way."""
-        ration = self._rations.get(service.name)
-        if ration is None:
-            ration = self._rations[service.name] = Ration(*self._window, now)
-        at = ration.room_at(now, service.rate_per_s, self._parts(service.name))
+        rate_share = self._rate_shares.get(service.name)
+        if rate_share is None:
+            rate_share = self._rate_shares[service.name] = RateShare(*self._window, now)
+        at = rate_share.room_at(now, service.rate_per_s, self._parts(service.name))
         if at > now and (queue.fresh or queue.late):
             self._wake_at(at + 0.001)
         few = 2 + int(OFFERED_FOR * service.rate_per_s / self._parts(service.name))
@@ -413,7 +413,7 @@
             case api.Cancel(ref=ref, attempt=attempt):
                 self._carrier.cancel(ref, attempt)
             case api.Note(text=text):
-                say(Event.MODULE_NOTE, text)
+                log_event(Event.MODULE_NOTE, text)
             case _:
                 pass
 
@@ -440,23 +440,23 @@
         if not self._ours(load.record):
             return self._forget(load)
         service = load.route.service
-        ration = self._rations.get(service)
-        if ration is not None and not self._paid(ration, service):
+        rate_share = self._rate_shares.get(service)
+        if rate_share is not None and not self._paid(rate_share, service):
             return self._refuse_call(load, target)
         self._move(load, Stage.OUT)
         guard = load.route.guard_timer_ms / 1000 + ANSWER_SLACK
         load.sends += 1
         self._carrier.call(target, [Item(ref, load.sends - 1, load.record.id, "", b"", guard)])
 
-    def _paid(self, ration: Ration, name: str) -> bool:
+    def _paid(self, rate_share: RateShare, name: str) -> bool:
         """Whether a limit has room for a call now; then it is counted."""
         service = self.config.by_service.get(name) if self.config is not None else None
         now = self._loop.time()
         if service is None or service.rate_per_s <= 0:
             return True
-        if ration.room_at(now, service.rate_per_s, self._parts(service.name)) > now:
+        if rate_share.room_at(now, service.rate_per_s, self._parts(service.name)) > now:
             return False
-        ration.count()
+        rate_share.count()
         return True
 
     def _refuse_call(self, load: Load, target: bytes) -> None:
@@ -483,12 +483,12 @@
         if verdict is Verdict.DONE:
             return self._end(load, State.DONE, load.seal)
         if verdict is Verdict.NEVER:
-            say(Event.ENDED_DEAD, record.id, "422")
+            log_event(Event.ENDED_DEAD, record.id, "422")
             return self._end(load, State.DEAD, "")
         if verdict is Verdict.FAILED:
             record.attempts += 1
             if record.attempts >= route.max_attempts:
-                say(Event.ENDED_DEAD, record.id, f"attempts={record.attempts}")
+                log_event(Event.ENDED_DEAD, record.id, f"attempts={record.attempts}")
                 return self._end(load, State.DEAD, "")
             return self._again(load, AGAIN[min(record.attempts - 1, len(AGAIN) - 1)])
         if verdict is Verdict.RUNNING:
--- a/huts/events.py
+++ b/emberlatch/cluster/events.py
@@ -5,7 +5,7 @@
 import logging
 from enum import IntEnum
 
-log = logging.getLogger("huts")
+log = logging.getLogger("emberlatch.cluster")
 
 
 class Event(IntEnum):
@@ -160,7 +160,7 @@
 }
 
 
-def say(event: Event, *told: object) -> None:
+def log_event(event: Event, *told: object) -> None:
     """Log an event with what it concerns."""
     level, text, _ = TEXTS[event]
     if log.isEnabledFor(level):
--- a/huts/trailhead/front.py
+++ b/emberlatch/cluster/ingress/front.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Any
 
+from emberlatch.cluster.rpc import Lost, Peer
+from emberlatch.cluster.settings import Configuration
 from emberlatch.net.server import Reply, Request
-from huts.rope import Lost, Peer
-from huts.waymark import Configuration
 
 STORE = 0.15  # seconds for a store to say that a message stands, while another could be asked
 IN_ALL = 0.46  # seconds in which a client has its answer
--- a/huts/trailhead/server.py
+++ b/emberlatch/cluster/ingress/listener.py
@@ -6,10 +6,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.settings.configuration import Limits
 from emberlatch.engine import Address, Machine, Tasks
 from emberlatch.net.server import Reply, Request, Server
-from huts.events import Event, say
-from huts.waymark.configuration import Limits
 
 SINGLE = frozenset({
     "content-length", "transfer-encoding", "host", "emberlatch-attempt-id", "emberlatch-delay-ms",
@@ -18,7 +18,7 @@
 """Headers that a request has once: of two, another reader could believe the other."""
 
 
-class Gate(Server):
+class HttpListener(Server):
     """`handle` is a coroutine function of request and reply."""
 
     def __init__(
@@ -46,7 +46,7 @@
         except asyncio.CancelledError:
             raise
         except Exception as error:  # costs this request and nothing else
-            say(Event.REQUEST_FAILED, repr(error)[:300])
+            log_event(Event.REQUEST_FAILED, repr(error)[:300])
             if reply.data is None:
                 reply.send(500)
         finally:
--- a/huts/trailhead/ready.py
+++ b/emberlatch/cluster/ingress/ready.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
+from emberlatch.cluster.events import Event, log_event
 from emberlatch.net.server import Reply, Request
-from huts.events import Event, say
 
 
 class Ready:
@@ -22,5 +22,5 @@
         lacks = self._lacks()
         if lacks != self._last:
             self._last = lacks
-            say(Event.NOT_READY, lacks) if lacks else say(Event.READY)
+            log_event(Event.NOT_READY, lacks) if lacks else log_event(Event.READY)
         reply.send(503 if lacks else 200)
--- a/huts/party.py
+++ b/emberlatch/cluster/membership/view.py
@@ -11,15 +11,16 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+from emberlatch.cluster.decommission import Decommissions
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.membership.placement import rank
+from emberlatch.cluster.membership.roster import Member, Roster
+from emberlatch.cluster.message_store import Phase, Replicator
+from emberlatch.cluster.rpc import Lost, Peer, RpcConnection, RpcServer, TrafficCounters
+from emberlatch.cluster.rpc.connection import Serve
+from emberlatch.cluster.rpc.peer import Words
+from emberlatch.cluster.settings import NodeSettings
 from emberlatch.engine import Tasks
-from huts.events import Event, say
-from huts.refuge import Keeper, Phase
-from huts.register import Member, Roster, rank
-from huts.retire import Retirements
-from huts.rope import Lost, Peer, RopeServer, Strand, Tally
-from huts.rope.peer import Words
-from huts.rope.strand import Serve
-from huts.waymark import Boot
 
 SEEDED = 10.0  # seconds from the start for which all seeds are dialled
 ASK_AGAIN = 1.5  # seconds between two questions for the list of stores
@@ -30,22 +31,22 @@
 ROSTER = "stores"  # the name under which the stores are noted on disk
 
 
-class Party:
+class MembershipView:
     """See the module. `words` is said on links, `serve` answers what comes on them."""
 
-    def __init__(self, boot: Boot, life: int, tasks: Tasks, words: Words, serve: Serve) -> None:
-        self.boot, self._tasks, self._words, self._serve = boot, tasks, words, serve
-        control = boot.listen.get("control")
+    def __init__(self, settings: NodeSettings, life: int, tasks: Tasks, words: Words, serve: Serve) -> None:
+        self.settings, self._tasks, self._words, self._serve = settings, tasks, words, serve
+        control = settings.listen.get("control")
         self.me = Member(
-            boot.node, boot.ip, boot.inner_port, boot.zone, boot.region, boot.stores, boot.counted,
-            f"{control[0]}:{control[1]}" if control else "", life,
+            settings.node, settings.ip, settings.inner_port, settings.zone, settings.region,
+            settings.stores, settings.counted, f"{control[0]}:{control[1]}" if control else "", life,
         )  # fmt: skip
-        self.roster, self.tally = Roster(self.me), Tally()
+        self.roster, self.counters = Roster(self.me), TrafficCounters()
         self.peers: dict[tuple[str, int], Peer] = {}
         self.phases: dict[str, str] = {}
-        self.keeper: Keeper | None = None  # where there is a disk
-        self.rope: RopeServer | None = None  # those that dialled us
-        self.retire = Retirements(boot.node, tasks, self)
+        self.replicator: Replicator | None = None  # where there is a disk
+        self.rpc_server: RpcServer | None = None  # those that dialled us
+        self.retire = Decommissions(settings.node, tasks, self)
         self._stores: dict[str, Peer] | None = None  # by node; None: to be made anew
         self._left: set[str] = set()
         self._turn = 0
@@ -53,18 +54,18 @@
         self._asked = -1e9  # when it last asked for a list of stores
         self._untold: dict[str, Member] = {}  # stores of which the others are to hear
 
-    def recall(self, keeper: Keeper) -> None:
+    def recall(self, replicator: Replicator) -> None:
         """What the earlier life noted on disk."""
-        self.keeper = keeper
-        self._left = set(keeper.stock.ledger.noted(LEFT_OUT) or [])
-        for told in keeper.stock.ledger.noted(ROSTER) or []:
+        self.replicator = replicator
+        self._left = set(replicator.local_store.database.noted(LEFT_OUT) or [])
+        for told in replicator.local_store.database.noted(ROSTER) or []:
             self.roster.add(Member.read(told | {"life": 0}))
-        self.retire.load(keeper.stock.ledger.noted("retire"))
+        self.retire.load(replicator.local_store.database.noted("retire"))
 
     def close(self) -> None:
         """End all links."""
-        if self.rope is not None:
-            self.rope.close()
+        if self.rpc_server is not None:
+            self.rpc_server.close()
         for peer in list(self.peers.values()):
             peer.close()
 
@@ -73,7 +74,7 @@
         known = self.roster.members
         counted = (n for n in set(nodes) if not self.retire.marked(n))
         members = [m for n in counted if (m := known.get(n)) is not None and m.store]
-        want = self.boot.resilience
+        want = self.settings.resilience
         return (
             len(members) > want.machines
             and len({m.zone for m in members}) > want.zones
@@ -84,7 +85,7 @@
         """The other stores, by node."""
         if self._stores is None:
             links = ((m.node, self.peers.get((m.ip, m.port))) for m in self.roster.stores())
-            self._stores = {n: peer for n, peer in links if peer is not None and n != self.boot.node}
+            self._stores = {n: peer for n, peer in links if peer is not None and n != self.settings.node}
         return self._stores
 
     def current(self) -> dict[str, Peer]:
@@ -96,7 +97,7 @@
     def count_out(self, now: float) -> None:
         """A store that is silent for long counts no more, as long as most of the rest hear each other: who is
         cut off itself never counts anybody out."""
-        if self.keeper is None:
+        if self.replicator is None:
             return
         for name, peer in self.stores().items():
             silent = now - max(peer.last_up, peer.began)
@@ -105,10 +106,10 @@
                 self._note_left()
             elif peer.up:
                 continue
-            elif name not in self._left and silent > LEFT and self.keeper.holding.in_touch():
+            elif name not in self._left and silent > LEFT and self.replicator.ownership.in_touch():
                 self._left.add(name)
                 self._note_left()
-                say(Event.MEMBER_LEFT, name)
+                log_event(Event.MEMBER_LEFT, name)
             elif name in self._left and silent > FORGOTTEN:
                 self._left.discard(name)
                 self._note_left()
@@ -117,9 +118,9 @@
 
     def _note_left(self) -> None:
         """Who was counted out stays so over our next start, until it is heard: nobody waits for it then."""
-        if self.keeper is not None:
-            self.keeper.stock.ledger.note(LEFT_OUT, sorted(self._left))
-            self.keeper.stock.ledger.settle()
+        if self.replicator is not None:
+            self.replicator.local_store.database.note(LEFT_OUT, sorted(self._left))
+            self.replicator.local_store.database.settle()
 
     def able_stores(self) -> list[Peer]:
         """Those that take messages and copies."""
@@ -132,13 +133,13 @@
     def near_stores(self, thing: str = "") -> list[Peer]:
         """The stores that take messages, those of our zone first; of these the one whose turn a thing is, so
         that what goes to one service is in few hands."""
-        here = self.boot
+        here = self.settings
         return list(self._ranked(thing, set(), lambda m: (m.zone != here.zone, m.region != here.region)))
 
     def partners(self, have: set[str]) -> Iterator[Peer]:
         """The stores that may keep what these have, the best first: what is lacking of zones and regions,
         else our own zone, for each body that leaves it is paid for."""
-        members, want = self.roster.members, self.boot.resilience
+        members, want = self.roster.members, self.settings.resilience
         zones = {m.zone for n in have if (m := members.get(n)) is not None}
         regions = {m.region for n in have if (m := members.get(n)) is not None}
         new_zone, new_region = len(zones) <= want.zones, len(regions) <= want.regions
@@ -148,7 +149,7 @@
             return (
                 new_region and member.region in regions,
                 new_zone and member.zone in zones,
-                not new_zone and member.zone != self.boot.zone,
+                not new_zone and member.zone != self.settings.zone,
             )
 
         return self._ranked(str(self._turn), have, worse)
@@ -173,23 +174,29 @@
     def dial(self) -> None:
         """Keep a link to each store; to the seeds for a while, or as long as none is known: the first that
         answers may know only part of the others."""
-        wanted = {(m.ip, m.port): m.node for m in self.roster.stores() if m.node != self.boot.node}
+        wanted = {(m.ip, m.port): m.node for m in self.roster.stores() if m.node != self.settings.node}
         young = asyncio.get_running_loop().time() - self._began < SEEDED
-        if young or len(wanted) < 1 + (not self.boot.stores) or not any(p.up for p in self.peers.values()):
-            for host, _ in self.boot.seeds:
-                if host != self.boot.ip:
-                    wanted.setdefault((host, self.boot.inner_port), f"seed {host}")
+        if (
+            young
+            or len(wanted) < 1 + (not self.settings.stores)
+            or not any(p.up for p in self.peers.values())
+        ):
+            for host, _ in self.settings.seeds:
+                if host != self.settings.ip:
+                    wanted.setdefault((host, self.settings.inner_port), f"seed {host}")
         for address, name in wanted.items():
             peer = self.peers.get(address)
             if peer is None:
-                self.peers[address] = Peer(name, address, self._serve, self._tasks, self._words, self.tally)
+                self.peers[address] = Peer(
+                    name, address, self._serve, self._tasks, self._words, self.counters
+                )
             elif not name.startswith("seed "):
                 peer.name = name
         for address in [a for a in self.peers if a not in wanted]:
             self.peers.pop(address).close()
         self._stores = None
 
-    def meet(self, told: Any, peer: Peer | Strand | None) -> None:
+    def meet(self, told: Any, peer: Peer | RpcConnection | None) -> None:
         """What another process says of itself and of the stores that it knows."""
         told_of, speaker = [Member.read(item) for item in told["roster"]], Member.read(told["me"])
         news = [m for m in (*told_of, speaker) if self.roster.add(m) and m.store]
@@ -201,12 +208,12 @@
         if not news:
             return
         for member in news:
-            say(Event.MEMBER_NEW, member.node, member.ip, f"life={member.life}")
+            log_event(Event.MEMBER_NEW, member.node, member.ip, f"life={member.life}")
         self.dial()
-        if self.keeper is None:
+        if self.replicator is None:
             return
-        self.keeper.stock.ledger.note(ROSTER, [m.told() for m in self.roster.stores()])
-        self.keeper.stock.ledger.settle()
+        self.replicator.local_store.database.note(ROSTER, [m.told() for m in self.roster.stores()])
+        self.replicator.local_store.database.settle()
         if not self._untold:
             asyncio.get_running_loop().call_later(GATHER, self._tell_members)
         self._untold.update((m.node, m) for m in news)
@@ -217,14 +224,14 @@
         told = self.told() | {"roster": [m.told() for m in news.values()]}
         for peer in self.other_stores():
             peer.tell("members", told)
-        for strand in list(self.rope.strands) if self.rope is not None else []:
-            member = self.roster.members.get(strand.name)
+        for connection in list(self.rpc_server.connections) if self.rpc_server is not None else []:
+            member = self.roster.members.get(connection.name)
             if member is not None and not member.store:
-                strand.tell("members", told)
+                connection.tell("members", told)
 
     def told(self) -> dict[str, Any]:
         """Who we are, and the stores that we know if we are one."""
-        known = self.roster.stores() if self.boot.stores else []
+        known = self.roster.stores() if self.settings.stores else []
         return {"me": self.me.told(), "roster": [m.told() for m in known]}
 
     async def _ask_roster(self, peer: Peer) -> None:
--- a/huts/refuge/ledger.py
+++ b/emberlatch/cluster/message_store/database.py
@@ -15,13 +15,13 @@
 
 import cbor2
 
+from emberlatch.cluster.message_store.record import Record, State
 from emberlatch.store import GroupSync, Offload
-from huts.refuge.record import Record, State
 
 _Write = tuple[str, tuple[Any, ...]]
 
 
-class Ledger:
+class RecordDatabase:
     """See the module. `wall` gives the time of day in seconds, `failed` hears that a commit failed."""
 
     def __init__(
--- a/huts/refuge/shelf.py
+++ b/emberlatch/cluster/message_store/index.py
@@ -1,7 +1,7 @@
 """All records of a process and the digests by which copies are compared. Pure: no disk, no clock, no link.
 
-For each other keeper there are digests over ranges of ids. Each is the sum of the fingerprints of the records
-that both are to keep; it is carried on with each change, never computed anew.
+For each other replica there are digests over ranges of ids. Each is the sum of the fingerprints of the
+records that both are to keep; it is carried on with each change, never computed anew.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 from typing import Any
 from zlib import crc32
 
-from huts.refuge.record import Record, State, rank
+from emberlatch.cluster.message_store.record import Record, State, rank
 
 RANGES = 64
 _WRAP = (1 << 64) - 1
@@ -21,7 +21,7 @@
     return crc32(id.encode()) % RANGES
 
 
-class Shelf:
+class RecordIndex:
     """See the module. `me` is this process's node."""
 
     def __init__(self, me: str) -> None:
@@ -34,7 +34,7 @@
     def _count(self, record: Record, mark: int) -> None:
         """Put a fingerprint in the place of the one before, with all that keep the record."""
         at = range_of(record.id)
-        for node in record.keepers:
+        for node in record.replicas:
             if node != self.me:
                 digests = self._digests.setdefault(node, [0] * RANGES)
                 digests[at] = (digests[at] - record.mark + mark) & _WRAP
@@ -52,10 +52,10 @@
         if record.id in self.records:
             self._count(record, record.fingerprint())
 
-    def keep_by(self, record: Record, keepers: Iterable[str]) -> None:
+    def keep_by(self, record: Record, replicas: Iterable[str]) -> None:
         """Others keep it from now on."""
         self._count(record, 0)
-        record.keepers = tuple(keepers)
+        record.replicas = tuple(replicas)
         self.changed(record)
 
     def fill(self, record: Record, copy: Record) -> None:
@@ -83,7 +83,7 @@
     def shared(self, node: str, ranges: Iterable[int]) -> Iterator[Record]:
         """The records of some ranges that both keep."""
         for at in ranges:
-            yield from (r for r in list(self._ranges[at].values()) if node in r.keepers)
+            yield from (r for r in list(self._ranges[at].values()) if node in r.replicas)
 
     def summary(self, node: str, ranges: Iterable[int]) -> dict[str, list[Any]]:
         """What we know of them: state, epoch, holder."""
--- a/huts/refuge/stock.py
+++ b/emberlatch/cluster/message_store/local_store.py
@@ -7,13 +7,13 @@
 from enum import Enum
 from typing import Any, Protocol
 
-from huts.refuge.ledger import Ledger
-from huts.refuge.record import Record, State
-from huts.refuge.shelf import Shelf
+from emberlatch.cluster.message_store.database import RecordDatabase
+from emberlatch.cluster.message_store.index import RecordIndex
+from emberlatch.cluster.message_store.record import Record, State
 
 
 class Phase(Enum):
-    """What a keeper does."""
+    """What a replica does."""
 
     STARTING = "starting"  # compares with the others; takes and delivers nothing
     SERVING = "serving"
@@ -34,11 +34,11 @@
         """All that no call is out of; they are ours to deliver no more."""
 
 
-class Stock:
+class LocalStore:
     """See the module."""
 
-    def __init__(self, me: str, shelf: Shelf, ledger: Ledger) -> None:
-        self.me, self.shelf, self.ledger = me, shelf, ledger
+    def __init__(self, me: str, index: RecordIndex, database: RecordDatabase) -> None:
+        self.me, self.index, self.database = me, index, database
         self.deliverer: Deliverer
         self.phase = Phase.STARTING
 
@@ -53,8 +53,8 @@
 
     def add(self, record: Record) -> None:
         """A record that was not there."""
-        self.shelf.put(record)
-        self.ledger.put(record, self._now())
+        self.index.put(record)
+        self.database.put(record, self._now())
 
     def merge(self, record: Record, state: int, seal: str, epoch: int, holder: str, attempts: int) -> bool:
         """Take what another copy knows: in memory, on disk soon, and for who delivers it."""
@@ -68,41 +68,41 @@
         if was_mine and not mine:
             self.deliverer.withdraw(record)
         if record.state in (State.DONE, State.DEAD):
-            self.shelf.unload(record)
-        self.shelf.changed(record)
-        self.ledger.mark(record, self._now())
-        self.ledger.settle()
+            self.index.unload(record)
+        self.index.changed(record)
+        self.database.mark(record, self._now())
+        self.database.settle()
         if mine and not was_mine and self.delivers:
             self.deliverer.deliver(record)
         return True
 
     def absorb(self, told: dict[str, Any]) -> Record | None:
         """A copy from elsewhere: new here, or merged; None if it is no use."""
-        record = self.shelf.records.get(str(told["id"]))
+        record = self.index.records.get(str(told["id"]))
         if record is not None:
-            if set(told["keepers"]) - set(record.keepers):
-                self.kept_by(record, [*record.keepers, *map(str, told["keepers"])])
+            if set(told["keepers"]) - set(record.replicas):
+                self.kept_by(record, [*record.replicas, *map(str, told["keepers"])])
             if record.body is None and told["body"] is not None and not told["state"] > State.VOID:
-                self.shelf.fill(record, Record.read(told, self._now()))  # a void was all that we had of it
-                self.ledger.put(record, self._now())
+                self.index.fill(record, Record.read(told, self._now()))  # a void was all that we had of it
+                self.database.put(record, self._now())
             word = told["state"], told["seal"], told["epoch"], told["holder"], told["attempts"]
             self.merge(record, *word)
             return record
         if told["state"] == State.QUEUED and told["body"] is None:
             return None
         record = Record.read(told, self._now())
-        if self.me not in record.keepers:
-            record.keepers = (*record.keepers, self.me)
+        if self.me not in record.replicas:
+            record.replicas = (*record.replicas, self.me)
         self.add(record)
         if record.open and record.holder == self.me and self.delivers:
             self.deliverer.deliver(record)
         return record
 
-    def kept_by(self, record: Record, keepers: Iterable[str]) -> None:
+    def kept_by(self, record: Record, replicas: Iterable[str]) -> None:
         """Others keep it as well."""
-        self.shelf.keep_by(record, dict.fromkeys(keepers))
-        self.ledger.mark(record, self._now())
-        self.ledger.settle()
+        self.index.keep_by(record, dict.fromkeys(replicas))
+        self.database.mark(record, self._now())
+        self.database.settle()
 
     def told(self, record: Record) -> dict[str, Any]:
         """A record as it is sent to another store."""
@@ -115,7 +115,7 @@
     def standing(self) -> asyncio.Future[None]:
         """Done once all that is written by now is on disk."""
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.ledger.stands(lambda: None if done.done() else done.set_result(None))
+        self.database.stands(lambda: None if done.done() else done.set_result(None))
         return done
 
     @staticmethod
--- a/huts/refuge/holding.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -5,11 +5,11 @@
 import asyncio
 from collections.abc import Callable
 
-from huts.events import Event, say
-from huts.refuge.record import Record
-from huts.refuge.repair import Repair, parts
-from huts.refuge.stock import Stock
-from huts.rope import Lost, Peer, PeerState
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store.local_store import LocalStore
+from emberlatch.cluster.message_store.record import Record
+from emberlatch.cluster.message_store.repair import Repair, parts
+from emberlatch.cluster.rpc import Lost, Peer, PeerState
 
 LEASE = 2.4  # seconds of silence after which a holder has surely stopped (it stops after a link's silence)
 DEAD = 0.25  # seconds for which a port has refused: its process has ended
@@ -17,17 +17,17 @@
 HAND = 1.0  # seconds for another store to take what is handed to it
 
 
-class Holding:
+class Ownership:
     """`stores` are the other stores by node, as far as they count; `able` those that take copies."""
 
     def __init__(
         self,
-        stock: Stock,
+        local_store: LocalStore,
         repair: Repair,
         stores: Callable[[], dict[str, Peer]],
         able: Callable[[], list[Peer]],
     ) -> None:
-        self._stock, self._repair, self._stores, self._able = stock, repair, stores, able
+        self._local_store, self._repair, self._stores, self._able = local_store, repair, stores, able
         self._ticked = asyncio.get_running_loop().time()
         self._apart = -1e9  # when it last did not reach most of the stores: it was cut off, not they
         self._stalled = -1e9  # when this process last stood still
@@ -56,7 +56,7 @@
         if now - self._ticked > STALL:
             self._stalled = now
             self._repair.mended.clear()
-            say(Event.STOOD_STILL, f"seconds={now - self._ticked:.2f}")
+            log_event(Event.STOOD_STILL, f"seconds={now - self._ticked:.2f}")
         if not self.reaches():
             self._apart = now
         self._ticked = now
@@ -68,20 +68,20 @@
         by_heir: dict[str, list[Record]] = {}
         able = [peer.name for peer in self._able()]
         for at, record in enumerate(records):
-            if able and record.open and record.holder == self._stock.me:
-                heir = next((n for n in able if n in record.keepers), able[at % len(able)])
+            if able and record.open and record.holder == self._local_store.me:
+                heir = next((n for n in able if n in record.replicas), able[at % len(able)])
                 by_heir.setdefault(heir, []).append(record)
         for heir, theirs in by_heir.items():
             for part in parts(theirs, 500):
                 await self._hand(self._stores()[heir], part)
         if by_heir:
-            say(Event.HANDED_OVER, *(f"{heir}={len(theirs)}" for heir, theirs in by_heir.items()))
+            log_event(Event.HANDED_OVER, *(f"{heir}={len(theirs)}" for heir, theirs in by_heir.items()))
 
     async def _hand(self, peer: Peer, records: list[Record]) -> None:
         try:
-            missing = [r for r in records if peer.name not in r.keepers]
+            missing = [r for r in records if peer.name not in r.replicas]
             for record in missing:
-                self._stock.kept_by(record, [*record.keepers, peer.name])
+                self._local_store.kept_by(record, [*record.replicas, peer.name])
             await self._repair.give(peer, missing)
             words = [[r.id, r.epoch + 1, r.attempts] for r in records]
             lacking = set(await peer.ask("own", words, HAND))
@@ -90,7 +90,7 @@
                 lacking = set(await peer.ask("own", words, HAND))
             for record in records:
                 if record.id not in lacking:
-                    self._stock.merge(
+                    self._local_store.merge(
                         record, record.state, record.seal, record.epoch + 1, peer.name, record.attempts
                     )
         except Lost:
@@ -100,11 +100,13 @@
         """A holder that leaves makes us the holder; which of them we do not have."""
         missing = []
         for id, epoch, attempts in words:
-            record = self._stock.shelf.records.get(str(id))
+            record = self._local_store.index.records.get(str(id))
             if record is None:
                 missing.append(id)
             elif isinstance(epoch, int) and isinstance(attempts, int):
-                self._stock.merge(record, record.state, record.seal, epoch, self._stock.me, attempts)
+                self._local_store.merge(
+                    record, record.state, record.seal, epoch, self._local_store.me, attempts
+                )
         return missing
 
     # Taking.
@@ -117,21 +119,25 @@
         return silent and now - since > LEASE and self.in_touch()
 
     def take_over(self, now: float, known: dict[str, Peer]) -> None:
-        """What dead holders held, and we are the first living keeper of, is ours from now on.
+        """What dead holders held, and we are the first living replica of, is ours from now on.
 
         `known` are all stores that were ever heard of: those that count no more are dead too.
         """
         stores = self._stores()
         dead = {name for name, peer in known.items() if self._dead(peer, now)}
-        if not dead or not self._stock.delivers:
+        if not dead or not self._local_store.delivers:
             return
         count = 0
-        for record in list(self._stock.shelf.records.values()):
+        for record in list(self._local_store.index.records.values()):
             if not record.open or record.holder not in dead:
                 continue
-            living = (n for n in record.keepers if n == self._stock.me or (n in stores and stores[n].up))
-            if next(living, None) == self._stock.me:
+            living = (
+                n for n in record.replicas if n == self._local_store.me or (n in stores and stores[n].up)
+            )
+            if next(living, None) == self._local_store.me:
                 count += 1
-                self._stock.merge(record, record.state, "", record.epoch + 1, self._stock.me, record.attempts)
+                self._local_store.merge(
+                    record, record.state, "", record.epoch + 1, self._local_store.me, record.attempts
+                )
         if count:
-            say(Event.TAKEN_OVER, f"of={','.join(sorted(dead))} messages={count}")
+            log_event(Event.TAKEN_OVER, f"of={','.join(sorted(dead))} messages={count}")
--- a/huts/refuge/record.py
+++ b/emberlatch/cluster/message_store/record.py
@@ -36,8 +36,24 @@
     """A message. `due`, `end` and `ended` are in the loop's time; what is kept on disk is the time of day."""
 
     __slots__ = (
-        "attempts", "body", "content", "due", "end", "ended", "epoch", "holder", "host", "id", "keepers",
-        "mark", "method", "path", "seal", "sent", "state", "version",
+        "attempts",
+        "body",
+        "content",
+        "due",
+        "end",
+        "ended",
+        "epoch",
+        "holder",
+        "host",
+        "id",
+        "mark",
+        "method",
+        "path",
+        "replicas",
+        "seal",
+        "sent",
+        "state",
+        "version",
     )  # fmt: skip
 
     def __init__(self, id: str, host: str, method: str, path: str, content: str, body: bytes | None) -> None:
@@ -45,14 +61,14 @@
         self.body = body  # None: ended, or on disk
         self.state, self.seal = State.QUEUED, ""
         self.holder, self.epoch = "", 0
-        self.keepers: tuple[str, ...] = ()
+        self.replicas: tuple[str, ...] = ()
         self.attempts = 0
         self.version = -1  # of the configuration by which it was taken
         self.sent = 0.0  # about when its client sent it
         self.due = 0.0  # it is not to run before
         self.end = 0.0  # its retention is over
         self.ended = 0.0
-        self.mark = 0  # what it adds to the digests of its keepers
+        self.mark = 0  # what it adds to the digests of its replicas
 
     @property
     def open(self) -> bool:
@@ -86,7 +102,7 @@
         return {
             "id": self.id, "host": self.host, "method": self.method, "path": self.path,
             "content": self.content, "body": body, "state": int(self.state), "seal": self.seal,
-            "holder": self.holder, "epoch": self.epoch, "keepers": list(self.keepers),
+            "holder": self.holder, "epoch": self.epoch, "keepers": list(self.replicas),
             "attempts": self.attempts, "version": self.version, "sent": self.sent - now,
             "due": self.due - now, "end": self.end - now,
             "ended": self.ended - now if self.ended else None,
@@ -105,7 +121,7 @@
         )
         record.state, record.seal = State(told["state"]), str(told["seal"])
         record.holder, record.epoch = str(told["holder"]), int(told["epoch"])
-        record.keepers = tuple(map(str, told["keepers"]))
+        record.replicas = tuple(map(str, told["keepers"]))
         record.attempts, record.version = int(told["attempts"]), int(told["version"])
         record.sent, record.due = now + told["sent"], now + told["due"]
         record.end = now + told["end"]
--- a/huts/refuge/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store.local_store import LocalStore
+from emberlatch.cluster.message_store.record import Record, State
+from emberlatch.cluster.rpc import Lost, Peer
 from emberlatch.engine import Tasks
-from huts.events import Event, say
-from huts.refuge.record import Record, State
-from huts.refuge.stock import Stock
-from huts.rope import Lost, Peer
 
 BATCH = 256 * 1024  # bytes of records in one frame
 EVERY = 5.0  # seconds between two comparisons with a peer that is up all the time
@@ -25,14 +25,14 @@
 
     def __init__(
         self,
-        stock: Stock,
+        local_store: LocalStore,
         tasks: Tasks,
         stores: Callable[[], dict[str, Peer]],
         able: Callable[[], list[Peer]],
         partners: Callable[[set[str]], Iterator[Peer]],
         enough: Callable[[Iterable[str]], bool],
     ) -> None:
-        self._stock, self._tasks = stock, tasks
+        self._local_store, self._tasks = local_store, tasks
         self._stores, self._able, self._partners, self._enough = stores, able, partners, enough
         self.mended: dict[str, float] = {}
         self._mending: set[str] = set()
@@ -52,18 +52,18 @@
         if peer.name in self._mending:
             return
         self._mending.add(peer.name)
-        shelf, loop = self._stock.shelf, asyncio.get_running_loop()
+        index, loop = self._local_store.index, asyncio.get_running_loop()
         began = loop.time()
         try:
-            told = await peer.ask("ranges", shelf.digests(peer.name), ASK)
-            want, give = shelf.compare(peer.name, told["differ"], told["summary"])
+            told = await peer.ask("ranges", index.digests(peer.name), ASK)
+            want, give = index.compare(peer.name, told["differ"], told["summary"])
             for ids in parts(want, 200):
                 for record in await peer.ask("records", ids, ASK):
-                    self._stock.absorb(record)
+                    self._local_store.absorb(record)
             await self.give(peer, give)
-            await self._stock.standing()
+            await self._local_store.standing()
             if want or give:
-                say(Event.MENDED, peer.name, f"taken={len(want)} given={len(give)}")
+                log_event(Event.MENDED, peer.name, f"taken={len(want)} given={len(give)}")
             self.mended[peer.name] = began
         except Lost:
             pass
@@ -74,7 +74,7 @@
         """Send records; Lost if that store does not have them on its disk now."""
         batch, size = list[dict[str, Any]](), 0
         for record in records:
-            batch.append(self._stock.told(record))
+            batch.append(self._local_store.told(record))
             size += 300 + len(record.body or b"")
             if size > BATCH:
                 await peer.ask("mend", batch, ASK)
@@ -86,19 +86,19 @@
 
     def ranges(self, node: str, theirs: list[int]) -> dict[str, Any]:
         """Another store's digests: where ours differ, and what we know there."""
-        differ = self._stock.shelf.differ(node, theirs)
-        return {"differ": differ, "summary": self._stock.shelf.summary(node, differ)}
+        differ = self._local_store.index.differ(node, theirs)
+        return {"differ": differ, "summary": self._local_store.index.summary(node, differ)}
 
     def records(self, ids: list[str]) -> list[dict[str, Any]]:
         """Records for another store."""
-        found = (self._stock.shelf.records.get(id) for id in ids)
-        return [self._stock.told(record) for record in found if record is not None]
+        found = (self._local_store.index.records.get(id) for id in ids)
+        return [self._local_store.told(record) for record in found if record is not None]
 
     async def take(self, told: list[dict[str, Any]]) -> bool:
         """Another store sends what we lack; true once it is on our disk."""
         for record in told:
-            self._stock.absorb(record)
-        await self._stock.standing()
+            self._local_store.absorb(record)
+        await self._local_store.standing()
         return True
 
     # Copies.
@@ -107,7 +107,7 @@
         """Machines whose copies count."""
         stores = self._stores()
         there = {n for n, p in stores.items() if p.up or now - max(p.last_up, p.began) < GONE_FOR}
-        return ({self._stock.me} | there) - self.leaving()
+        return ({self._local_store.me} | there) - self.leaving()
 
     def spread_due(self, now: float) -> None:
         """What we hold and too few living machines keep gets another copy."""
@@ -115,13 +115,13 @@
             return
         self._looked = now
         living = self._living(now)
-        if living >= {self._stock.me, *self._stores()}:
+        if living >= {self._local_store.me, *self._stores()}:
             return
-        records = self._stock.shelf.records.values()
+        records = self._local_store.index.records.values()
         lacking = [
             r
             for r in records
-            if r.open and r.holder == self._stock.me and not self._enough(living & set(r.keepers))
+            if r.open and r.holder == self._local_store.me and not self._enough(living & set(r.replicas))
         ]
         if lacking:
             self._spreading = True
@@ -131,7 +131,7 @@
         try:
             count = await self.copy_out(records, living)
             if count:
-                say(Event.COPIED, f"messages={count}")
+                log_event(Event.COPIED, f"messages={count}")
         finally:
             self._spreading = False
 
@@ -140,7 +140,7 @@
         by_peer: dict[str, list[Record]] = {}
         peers = {p.name: p for p in self._able()}
         for record in records:
-            have = counted & set(record.keepers)
+            have = counted & set(record.replicas)
             while not self._enough(have):
                 peer = next((p for p in self._partners(have) if p.name in peers), None)
                 if peer is None:
@@ -150,22 +150,22 @@
         done = 0
         for name, theirs in by_peer.items():
             for part in parts(theirs, 100):
-                keepers = [(r, (*r.keepers, name)) for r in part]
+                replicas = [(r, (*r.replicas, name)) for r in part]
                 try:
-                    batch = [self._stock.told(r) | {"keepers": list(k)} for r, k in keepers]
+                    batch = [self._local_store.told(r) | {"keepers": list(k)} for r, k in replicas]
                     await peers[name].ask("mend", batch, ASK)
                 except Lost:
                     break
-                for record, kept in keepers:
-                    self._stock.kept_by(record, kept)
+                for record, kept in replicas:
+                    self._local_store.kept_by(record, kept)
                 done += len(part)
         return done
 
     def alone(self, counted: set[str]) -> list[Record]:
         """Our records of which too few of the counted machines have a copy."""
-        records = self._stock.shelf.records.values()
+        records = self._local_store.index.records.values()
         return [
-            r for r in records if r.state is not State.VOID and not self._enough(counted & set(r.keepers))
+            r for r in records if r.state is not State.VOID and not self._enough(counted & set(r.replicas))
         ]
 
 
--- a/huts/refuge/keeper.py
+++ b/emberlatch/cluster/message_store/replicator.py
@@ -1,6 +1,6 @@
 """Keeps messages on this machine's disk and a copy of each on others'.
 
-Who takes a message holds it from the same write and delivers it; the other keepers only store it.
+Who takes a message holds it from the same write and delivers it; the other replicas only store it.
 """
 
 from __future__ import annotations
@@ -9,13 +9,13 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store.local_store import LocalStore, Phase
+from emberlatch.cluster.message_store.ownership import Ownership
+from emberlatch.cluster.message_store.record import WORDS, Record, State
+from emberlatch.cluster.message_store.repair import Repair
+from emberlatch.cluster.rpc import Lost, Peer, PeerState
 from emberlatch.engine import Tasks
-from huts.events import Event, say
-from huts.refuge.holding import Holding
-from huts.refuge.record import WORDS, Record, State
-from huts.refuge.repair import Repair
-from huts.refuge.stock import Phase, Stock
-from huts.rope import Lost, Peer, PeerState
 
 COPY = 0.25  # seconds for another store to have a copy on its disk
 HEDGE = 0.035  # seconds after which a further store is asked as well
@@ -29,14 +29,14 @@
 ALONE = 1.5  # seconds after which a start goes on without those that do not answer
 
 
-class Keeper:
+class Replicator:
     """`stores` are the other stores that count, by node; `known` all that were ever heard of; `able` those
     that take copies, `partners` the same for what some have, the best first; `enough` says whether these
     machines' disks bear what may be lost; `limits` are bytes of memory and of disk."""
 
     def __init__(
         self,
-        stock: Stock,
+        local_store: LocalStore,
         tasks: Tasks,
         enough: Callable[[Iterable[str]], bool],
         stores: Callable[[], dict[str, Peer]],
@@ -46,12 +46,12 @@
         limits: tuple[float, float],
         keep_s: float,
     ) -> None:
-        self.stock, self.me = stock, stock.me
+        self.local_store, self.me = local_store, local_store.me
         self._tasks, self._enough, self._stores, self._known_stores = tasks, enough, stores, known
         self._partners = partners
         self._memory, self._disk, self._keep_s = limits[0] * IN_MEMORY, limits[1] * ROOM, keep_s
-        self.repair = Repair(stock, tasks, known, able, partners, enough)
-        self.holding = Holding(stock, self.repair, stores, able)
+        self.repair = Repair(local_store, tasks, known, able, partners, enough)
+        self.ownership = Ownership(local_store, self.repair, stores, able)
         self._taking: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self.full = False
         self.phase_changed: Callable[[Phase], None] = lambda _: None
@@ -61,16 +61,16 @@
     @property
     def phase(self) -> Phase:
         """What it does now."""
-        return self.stock.phase
+        return self.local_store.phase
 
     def become(self, phase: Phase) -> None:
         """The one place in which its phase changes."""
         if phase is self.phase or self.phase is Phase.CLOSING:
             return
-        self.stock.phase = phase
+        self.local_store.phase = phase
         if phase is Phase.SERVING:
-            for record in self.stock.shelf.held(self.me):
-                self.stock.deliverer.deliver(record)
+            for record in self.local_store.index.held(self.me):
+                self.local_store.deliverer.deliver(record)
         self.phase_changed(phase)
 
     async def start(self, first: bool) -> None:
@@ -78,16 +78,16 @@
 
         `first`: nothing was ever taken anywhere. An empty disk at any other start is a loss.
         """
-        loop, ledger = asyncio.get_running_loop(), self.stock.ledger
-        records = ledger.load(loop.time())
+        loop, database = asyncio.get_running_loop(), self.local_store.database
+        records = database.load(loop.time())
         for record in records:
-            self.stock.shelf.put(record)
-        lost = ledger.noted("life") is None and not first
-        say(Event.DISK_READ, f"records={len(records)}") if not lost else say(Event.DISK_EMPTY)
-        ledger.note("life", 1)
+            self.local_store.index.put(record)
+        lost = database.noted("life") is None and not first
+        log_event(Event.DISK_READ, f"records={len(records)}") if not lost else log_event(Event.DISK_EMPTY)
+        database.note("life", 1)
         began = loop.time()
         while not first and not self._known(loop.time() - began, lost):
-            self.holding.tick(loop.time())
+            self.ownership.tick(loop.time())
             self.repair.due(loop.time())
             await asyncio.sleep(0.02)
         self.become(Phase.SERVING)
@@ -113,14 +113,14 @@
         id, epoch = str(told["id"]), 1 + int(told["tries"])
         if (taking := self._taking.get(id)) is not None:
             return await asyncio.shield(taking)
-        known = self.stock.shelf.records.get(id)
+        known = self.local_store.index.records.get(id)
         if known is not None and known.state in (State.DONE, State.DEAD):
             return {"ok": True, "clear": False, "why": "ended"}
         if known is not None and known.epoch >= epoch and known.holder != self.me:
             return {"ok": False, "clear": False, "why": "another holds it"}
         if self.phase is not Phase.SERVING:
             return {"ok": False, "clear": known is None, "why": self.phase.value}
-        if self.full or self.stock.shelf.bytes + len(told["body"]) > self._memory:
+        if self.full or self.local_store.index.bytes + len(told["body"]) > self._memory:
             return {"ok": False, "clear": known is None, "why": "full"}
         if self._disk_lags():
             return {"ok": False, "clear": known is None, "why": "its disk stands still"}
@@ -140,22 +140,22 @@
     def _written(self, told: dict[str, Any], epoch: int, known: Record | None, first: list[str]) -> Record:
         """The record of what is handed in, held by us; who is asked first to keep it, too."""
         if known is not None:
-            self.stock.merge(known, State.QUEUED, "", epoch, self.me, known.attempts)
+            self.local_store.merge(known, State.QUEUED, "", epoch, self.me, known.attempts)
             return known
         now = asyncio.get_running_loop().time()
         record = Record(told["id"], told["host"], told["method"], told["path"], told["content"], told["body"])
         record.sent = now - told["age"]
         record.due, record.end = record.sent + told["delay"], record.sent + told["retention"]
         record.version, record.holder, record.epoch = told["version"], self.me, epoch
-        record.keepers = (self.me, *first)
-        self.stock.add(record)
+        record.replicas = (self.me, *first)
+        self.local_store.add(record)
         return record
 
     async def _take(
         self, told: dict[str, Any], epoch: int, known: Record | None, partners: list[Peer]
     ) -> dict[str, Any]:
         record = self._written(told, epoch, known, [peer.name for peer in partners])
-        own = self.stock.standing()
+        own = self.local_store.standing()
         claimed = self._claim(record, told.get("maybe") or [])
         (have, asked), _ = await asyncio.gather(self._copies(record, partners), claimed)
         await own
@@ -164,10 +164,10 @@
         if self._enough([self.me, *have]) and record.open and record.epoch > epoch:
             return {"ok": True, "clear": False, "why": "another delivers it"}
         if self._enough([self.me, *have]) and record.open and record.epoch == epoch:
-            if record.holder == self.me and self.stock.delivers:
-                self.stock.deliverer.deliver(record)
+            if record.holder == self.me and self.local_store.delivers:
+                self.local_store.deliverer.deliver(record)
             elif record.holder == self.me:
-                await self.holding.hand_over([record])
+                await self.ownership.hand_over([record])
             return {"ok": True, "clear": False, "why": ""}
         clear = await self._void(record, asked, epoch) and known is None and epoch == 1
         return {"ok": False, "clear": clear, "why": "no copy"}
@@ -202,8 +202,8 @@
                 if peer is not None:
                     late = False
                     asked.add(peer.name)
-                    if peer.name not in record.keepers:
-                        self.stock.kept_by(record, [*record.keepers, peer.name])
+                    if peer.name not in record.replicas:
+                        self.local_store.kept_by(record, [*record.replicas, peer.name])
                     out[loop.create_task(self._copy(peer, record))] = peer.name
                     continue
             if not out:
@@ -223,47 +223,47 @@
     async def _copy(self, peer: Peer, record: Record) -> bool | None:
         """Whether it has a copy on its disk; None if it surely never heard of it."""
         try:
-            return bool(await peer.ask("keep", self.stock.told(record), COPY))
+            return bool(await peer.ask("keep", self.local_store.told(record), COPY))
         except Lost as lost:
             return False if lost.sent else None
 
     async def _claim(self, record: Record, maybe: list[str]) -> None:
         """Others may have taken it for the same client: it is ours now, unless they deliver it or have."""
-        word = self.stock.word(record)
+        word = self.local_store.word(record)
         peers = [p for n, p in self._known_stores().items() if n in maybe]
         told = await asyncio.gather(*(p.ask("claim", word, CLAIM) for p in peers), return_exceptions=True)
         for answer in told:
             if isinstance(answer, list):
-                self.stock.merge(record, *answer[1:])
+                self.local_store.merge(record, *answer[1:])
 
     def claimed(self, word: list[Any]) -> list[Any]:
         """Another store takes what we may have taken: what we know of it now."""
         id, _, _, epoch, holder, attempts = word
-        record = self.stock.shelf.records.get(id)
+        record = self.local_store.index.records.get(id)
         if record is None:  # should it come here yet, it is void
             record = self._stub(id, epoch - 1, holder)
-        elif record.open and record.holder == self.me and not self.stock.deliverer.withdraw(record):
-            self.stock.merge(record, record.state, "", epoch + 1, self.me, record.attempts)
+        elif record.open and record.holder == self.me and not self.local_store.deliverer.withdraw(record):
+            self.local_store.merge(record, record.state, "", epoch + 1, self.me, record.attempts)
         else:
-            self.stock.merge(record, State.QUEUED, "", epoch, holder, attempts)
-        return self.stock.word(record)
+            self.local_store.merge(record, State.QUEUED, "", epoch, holder, attempts)
+        return self.local_store.word(record)
 
     def _stub(self, id: str, epoch: int, holder: str) -> Record:
         """A note that nothing of a message may run that was written under this epoch."""
         now = asyncio.get_running_loop().time()
         record = Record(id, "", "", "", "", None)
         record.state, record.epoch, record.holder = State.VOID, epoch, holder
-        record.keepers, record.ended, record.end = (self.me, holder), now, now
-        self.stock.add(record)
+        record.replicas, record.ended, record.end = (self.me, holder), now, now
+        self.local_store.add(record)
         return record
 
     def _disk_lags(self) -> bool:
-        return self.stock.ledger.lag(asyncio.get_running_loop().time()) > DISK_LAG
+        return self.local_store.database.lag(asyncio.get_running_loop().time()) > DISK_LAG
 
     async def _void(self, record: Record, asked: set[str], epoch: int) -> bool:
         """It is not taken after all; whether no copy of it that was written under this epoch can ever run."""
-        self.stock.merge(record, State.VOID, "", epoch, self.me, record.attempts)
-        own = self.stock.standing()
+        self.local_store.merge(record, State.VOID, "", epoch, self.me, record.attempts)
+        own = self.local_store.standing()
         word = [[record.id, int(State.VOID), "", epoch, self.me, record.attempts]]
         others = [p for n, p in self._stores().items() if n in asked]
         sure = await asyncio.gather(*(self._sure(p, word) for p in others))
@@ -283,23 +283,23 @@
 
     async def settled(self) -> None:
         """All that was written by now is on disk."""
-        await self.stock.standing()
+        await self.local_store.standing()
 
     async def keep(self, told: dict[str, Any]) -> bool:
         """Another store sends a copy; whether it is on our disk now, as it was sent."""
         if self.phase in (Phase.CLOSING, Phase.RETIRING) or self._disk_lags():
             return False
-        record = self.stock.absorb(told)
-        await self.stock.standing()
+        record = self.local_store.absorb(told)
+        await self.local_store.standing()
         return record is not None and record.state is not State.VOID
 
     # Ends.
 
     def finish(self, record: Record, state: State, seal: str = "") -> None:
         """The delivery of a message that we hold has ended it."""
-        self.stock.merge(record, state, seal, record.epoch, record.holder, record.attempts)
-        word = [self.stock.word(record)]
-        for node in {*record.keepers, record.holder}:
+        self.local_store.merge(record, state, seal, record.epoch, record.holder, record.attempts)
+        word = [self.local_store.word(record)]
+        for node in {*record.replicas, record.holder}:
             peer = self._known_stores().get(node)
             if peer is not None:
                 peer.tell("ended", word)  # who does not hear it now hears it when copies are compared
@@ -310,28 +310,28 @@
         A void that comes before its copy is kept as one, so that the copy can't bring it back.
         """
         for id, state, seal, epoch, holder, attempts in words:
-            record = self.stock.shelf.records.get(id)
+            record = self.local_store.index.records.get(id)
             if record is not None:
                 if record.body is not None or state != State.QUEUED or record.open:
-                    self.stock.merge(record, state, seal, epoch, holder, attempts)
+                    self.local_store.merge(record, state, seal, epoch, holder, attempts)
             elif state == State.VOID:
                 self._stub(id, epoch, holder)
-        await self.stock.standing()
+        await self.local_store.standing()
         return True
 
     def state_of(self, id: str) -> list[Any] | None:
         """State and seal; None if it is not known here."""
-        record = self.stock.shelf.records.get(id)
+        record = self.local_store.index.records.get(id)
         if record is None or record.state is State.VOID:
             return None
         return [WORDS[record.state], record.seal]
 
     async def body_of(self, id: str) -> bytes | None:
         """The bytes of a message that waits or is dead."""
-        record = self.stock.shelf.records.get(id)
+        record = self.local_store.index.records.get(id)
         if record is None or record.state in (State.VOID, State.DONE):
             return None
-        return record.body if record.body is not None else await self.stock.ledger.body(id)
+        return record.body if record.body is not None else await self.local_store.database.body(id)
 
     # Time.
 
@@ -342,28 +342,28 @@
         while True:
             await asyncio.sleep(0.1)
             now = loop.time()
-            self.holding.tick(now)
-            self.holding.take_over(now, self._known_stores())
+            self.ownership.tick(now)
+            self.ownership.take_over(now, self._known_stores())
             self.repair.due(now)
-            if self.stock.delivers:
+            if self.local_store.delivers:
                 self.repair.spread_due(now)
             if now - swept > 1.0:
                 swept = now
                 await self._sweep(now)
 
     async def _sweep(self, now: float) -> None:
-        stock = self.stock
-        for record in list(stock.shelf.records.values()):
-            mine = record.open and record.holder == self.me and stock.delivers
+        local_store = self.local_store
+        for record in list(local_store.index.records.values()):
+            mine = record.open and record.holder == self.me and local_store.delivers
             if mine and now > record.end + LATE:
-                if stock.deliverer.withdraw(record):
-                    say(Event.ENDED_DEAD, record.id, "retention")
+                if local_store.deliverer.withdraw(record):
+                    log_event(Event.ENDED_DEAD, record.id, "retention")
                     self.finish(record, State.DEAD)
             elif not record.open and now - record.ended > self._keep_s + 5:
-                stock.shelf.drop(record)
-                stock.ledger.drop(record.id)
-        stock.ledger.settle()
-        full = self._disk > 0 and await stock.ledger.used() > self._disk
+                local_store.index.drop(record)
+                local_store.database.drop(record.id)
+        local_store.database.settle()
+        full = self._disk > 0 and await local_store.database.used() > self._disk
         if full and not self.full:
-            say(Event.DISK_FULL)
+            log_event(Event.DISK_FULL)
         self.full = full
--- /dev/null
+++ b/emberlatch/cluster/node.py
@@ -0,0 +1,392 @@
+"""One process of the system, whatever its role: links to the others, and the parts that its settings ask for.
+
+A process with a disk keeps the state and delivers; one that clients reach takes messages in; one with a
+control address takes calls, and passes on what it can't settle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from emberlatch.cluster.config_store import ConfigFiles, ConfigStore
+from emberlatch.cluster.control_api import CallHandler, ControlApi, ForwardingHandler, LocalHandler
+from emberlatch.cluster.decommission import Decommissions
+from emberlatch.cluster.discovery import Target, Targets
+from emberlatch.cluster.dispatch import Dispatcher
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.ingress import Front, HttpListener, Ready
+from emberlatch.cluster.membership import Member, first
+from emberlatch.cluster.membership.view import FORGOTTEN, MembershipView
+from emberlatch.cluster.message_store import (
+    LocalStore,
+    Phase,
+    Record,
+    RecordDatabase,
+    RecordIndex,
+    Replicator,
+    State,
+)
+from emberlatch.cluster.rpc import BEAT, Peer, PeerState, RpcConnection, RpcServer
+from emberlatch.cluster.settings import Configuration, NodeSettings
+from emberlatch.engine import Machine, Tasks
+from emberlatch.store import Offload
+
+FEW = 6  # stores to which a forwarder tells as often as a store does that it is there
+MOST_OF_IT = 0.8  # share of a zone's part of a limit that the store has whose turn the service is
+TAKE_STILL = (
+    2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
+)
+
+
+class Node:
+    """See the module. `failed` is told when the disk can be believed no more."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        machine: Machine,
+        offload: Offload,
+        life: int,
+        seed: int,
+        failed: Callable[[OSError], None],
+    ) -> None:
+        self.settings, self.machine, self.tasks = settings, machine, Tasks()
+        self._offload, self._seed, self._failed = offload, seed, failed
+        self.membership = MembershipView(settings, life, self.tasks, self, self.serve)
+        self.stopping = False
+        files = ConfigFiles(settings.data_dir / "word") if settings.stores and settings.data_dir else None
+        self.config_store = ConfigStore(
+            settings.node, files, offload, self.tasks, self.membership.enough, self.other_stores
+        )
+        self.config_store.in_force = self._in_force
+        self.replicator: Replicator | None = None
+        self.dispatcher: Dispatcher | None = None
+        self.targets: Targets | None = None
+        self.front: HttpListener | None = None
+        self.control_listener: HttpListener | None = None
+        self.ready: HttpListener | None = None
+
+    @property
+    def retire(self) -> Decommissions:
+        """Who empties machines."""
+        return self.membership.retire
+
+    def other_stores(self) -> list[Peer]:
+        """The other stores that can be asked."""
+        return self.membership.other_stores()
+
+    # What is said on links by itself.
+
+    def hello(self) -> dict[str, Any]:
+        return self.beat() | self.membership.told()
+
+    def every(self) -> float:
+        """Stores need to know soon that one of them is silent. Forwarders are many and go by answers that are
+        owed: what all of them ask a store in a second does not grow with the stores."""
+        return BEAT if self.settings.stores else BEAT * max(1.0, len(self.membership.stores()) / FEW)
+
+    def beat(self) -> dict[str, Any]:
+        phase = self.replicator.phase.value if self.replicator is not None else None
+        told = {"phase": phase, "word": self.config_store.told(), "stands": self.config_store.revision}
+        told["stores"] = self.membership.roster.digest()
+        return told | ({"retire": self.membership.retire.told()} if self.membership.retire.marks else {})
+
+    def greeted(self, peer: Peer, told: Any) -> None:
+        self.membership.meet(told, peer)
+        if Member.read(told["me"]).store:
+            self.config_store.forget(peer.name)
+        self._beat_of(peer, told)
+
+    def beaten(self, peer: Peer, told: Any) -> None:
+        self.membership.roster.renew(peer.name, asyncio.get_running_loop().time())
+        self._beat_of(peer, told)
+
+    def _beat_of(self, peer: Peer, told: Any) -> None:
+        self.membership.retire.heard(told.get("retire") or {})
+        if told["phase"] is not None:
+            self.membership.phases[peer.name] = told["phase"]
+            self.config_store.meet(peer, told["word"], told["stands"])
+            self.membership.compare(peer, told.get("stores"))
+
+    def changed(self, peer: Peer) -> None:
+        if not peer.up:
+            self.membership.phases.pop(peer.name, None)
+        if peer.up and self.targets is not None and self.targets.known:
+            now = asyncio.get_running_loop().time()
+            peer.tell("targets", [target.told(now) for target in self.targets.known.values()])
+        self.membership.dial()
+
+    def _tell_beat(self) -> None:
+        for peer in self.other_stores():
+            peer.tell("beat", self.beat())
+        for connection in (
+            list(self.membership.rpc_server.connections) if self.membership.rpc_server is not None else []
+        ):
+            connection.tell("news", [self.settings.node, self.beat()])
+
+    # What others ask.
+
+    def serve(self, connection: RpcConnection, method: str, payload: Any) -> Any:
+        """One question of another process."""
+        match method:
+            case "beat":
+                self.membership.roster.renew(connection.name, asyncio.get_running_loop().time())
+                if (
+                    payload
+                    and (peer := self.membership.stores().get(connection.name)) is not None
+                    and peer.up
+                ):
+                    self._beat_of(peer, payload)
+                return self.beat()
+            case "hello":
+                self.membership.meet(payload, connection)
+                if (peer := self.membership.stores().get(connection.name)) is not None:
+                    peer.speaks()
+                return self.hello()
+            case "roster":
+                return self.membership.told()
+            case "members":
+                return self.membership.meet(payload, None)
+            case "news":
+                if (peer := self.membership.stores().get(payload[0])) is not None and peer.up:
+                    self._beat_of(peer, payload[1])
+                return None
+            case "tell word":
+                return self.config_store.held.raw if self.config_store.held is not None else None
+        if self.replicator is None:
+            raise ValueError(f"{method}: not kept here")
+        return self._serve_store(connection, method, payload, self.replicator)
+
+    def _serve_store(
+        self, connection: RpcConnection, method: str, payload: Any, replicator: Replicator
+    ) -> Any:
+        match method:
+            case "take":
+                return replicator.take(payload)
+            case "claim":
+                return replicator.claimed(payload)
+            case "keep":
+                return replicator.keep(payload)
+            case "ended":
+                return replicator.ended(payload)
+            case "state":
+                return replicator.state_of(payload)
+            case "body":
+                return replicator.body_of(payload)
+            case "own":
+                return replicator.ownership.own(payload)
+            case "ranges":
+                return replicator.repair.ranges(connection.name, payload)
+            case "records":
+                return replicator.repair.records(payload)
+            case "mend":
+                return replicator.repair.take(payload)
+            case "word":
+                return self.config_store.taken(payload)
+            case "version":
+                return self.config_store.told()
+            case "retire":
+                return self.membership.retire.kept(payload)
+            case "target":
+                assert self.targets is not None
+                self.targets.heard(payload, asyncio.get_running_loop().time())
+                return True
+            case "targets":
+                assert self.targets is not None
+                for target in payload:
+                    self.targets.heard(target, asyncio.get_running_loop().time())
+                return None
+            case "control":
+                return self._control(payload)
+        raise ValueError(f"no such question: {method}")
+
+    async def _control(self, payload: Any) -> list[Any]:
+        answer = await self._call_handler.settle(payload[0], payload[1], payload[2])
+        return [answer.status, answer.body]
+
+    # Parts.
+
+    async def start(self) -> None:
+        """Begin; returns once all addresses listen."""
+        settings, loop = self.settings, asyncio.get_running_loop()
+        if settings.stores:
+            self._make_store()
+        inner = settings.ip, settings.inner_port
+        self.membership.rpc_server = RpcServer(
+            self.machine, inner, self.serve, self.tasks, self.membership.counters
+        )
+        self.membership.dial()
+        most = max(16, (settings.max_fds - 300) // 2)
+        if "front" in settings.listen:
+            handler = Front(
+                lambda: self.config_store.force,
+                self.membership.near_stores,
+                self.other_stores,
+                lambda: max(1, len(self.membership.stores())),
+            )
+            self.front = HttpListener(
+                settings.listen["front"], handler.handle, most, self.tasks, self.machine
+            )
+            self.front.start()
+            self.ready = HttpListener(
+                settings.listen["ready"], Ready(self.lacks).handle, 64, self.tasks, self.machine
+            )
+            self.ready.start()
+        self._call_handler: CallHandler = ForwardingHandler(self.membership.near_stores)
+        if self.replicator is not None and self.targets is not None:
+            self._call_handler = LocalHandler(self)
+        if "control" in settings.listen:
+            self.control_listener = HttpListener(
+                settings.listen["control"],
+                ControlApi(self._call_handler).handle,
+                most,
+                self.tasks,
+                self.machine,
+            )
+            self.control_listener.most_body, self.control_listener.idle = 2 * 1024 * 1024, 30.0
+            self.control_listener.start()
+        self.config_store.load()
+        if self.replicator is not None:
+            self.tasks.spawn(self._store_life(self.replicator))
+        life = f"life={self.membership.me.life}"
+        log_event(Event.STARTED, settings.node, settings.role, life, f"loop={type(loop).__module__}")
+
+    def _make_store(self) -> None:
+        settings, membership = self.settings, self.membership
+        assert settings.data_dir is not None
+        index = RecordIndex(settings.node)
+        database = RecordDatabase(
+            settings.data_dir / "records.db", self._offload, self.machine.wall, self._failed
+        )
+        limits = settings.memory_mb * 1e6, settings.disk_mb * 1e6
+        local_store = LocalStore(settings.node, index, database)
+        replicator = self.replicator = Replicator(
+            local_store, self.tasks, membership.enough, membership.current, membership.stores,
+            membership.able_stores, membership.partners,
+            limits,
+            settings.bounds.status_keep_s,
+        )  # fmt: skip
+        replicator.repair.leaving = lambda: set(membership.retire.marks)
+        membership.recall(replicator)
+        replicator.phase_changed = lambda _: self._tell_beat()
+        self.targets = Targets(settings.heartbeat_ms / 1000, self._target_changed)
+        window = settings.bounds.origin_window_s, settings.bounds.origin_excess
+        self.dispatcher = Dispatcher(
+            settings.zone, self.tasks, self._seed, local_store.ours, self._finished, self._wrong,
+            replicator.ownership.in_touch, self._parts, window, max(64, (settings.max_fds - 300) // 4),
+        )  # fmt: skip
+        local_store.deliverer = self.dispatcher
+
+    async def _store_life(self, replicator: Replicator) -> None:
+        await replicator.start(self.settings.initial_start)
+        self.tasks.spawn(replicator.tend())
+        self.membership.retire.resume()
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.25)
+            assert self.targets is not None and self.dispatcher is not None
+            self.targets.tick(loop.time())
+            self.membership.count_out(loop.time())
+            self.membership.roster.lapse(loop.time() - FORGOTTEN)
+            self.dispatcher.poke()
+
+    def _target_changed(self, target: Target) -> None:
+        assert self.dispatcher is not None
+        self.dispatcher.target(target)
+
+    def _finished(self, record: Record, state: State, seal: str) -> None:
+        assert self.replicator is not None
+        self.replicator.finish(record, state, seal)
+
+    def _wrong(self, id: str) -> None:
+        assert self.targets is not None
+        self.targets.wrong(id, asyncio.get_running_loop().time())
+
+    def _parts(self, service: str) -> float:
+        """By how many a limit is shared, the dead among them, for they may have sent just now.
+
+        Of each zone one store has most of it, the one that the forwarders send the service's messages to; the
+        others of the zone, which have what they took over, share the rest.
+        """
+        stores = self.membership.roster.stores()
+        zones = len({store.zone for store in stores})
+        mine = [store.node for store in stores if store.zone == self.settings.zone]
+        if len(mine) < 2:
+            return max(1, zones)
+        there = [n for n in mine if n == self.settings.node or n in self.membership.current()]
+        if first(service, there) == self.settings.node:
+            return zones / MOST_OF_IT
+        return zones * (len(mine) - 1) / (1 - MOST_OF_IT)
+
+    def needed(self) -> int:
+        """Of how many others it has to be heard which configuration they have."""
+        return max(0, len(self.membership.current()) - self.settings.resilience.machines)
+
+    def whole(self) -> bool:
+        assert self.replicator is not None
+        return self.replicator.phase is not Phase.STARTING
+
+    def reaches(self) -> bool:
+        """Whether this process is not cut off from the other stores."""
+        return self.replicator is None or self.replicator.ownership.reaches()
+
+    def _in_force(self, config: Configuration) -> None:
+        for listener in (self.front,):
+            if listener is not None:
+                listener.limit(config.limits)
+        if self.dispatcher is not None:
+            self.dispatcher.configure(config)
+        if self.replicator is not None and self.membership.rpc_server is not None:
+            self._tell_beat()
+
+    def lacks(self) -> str:
+        """What a front lacks to take messages; empty if nothing."""
+        if self.stopping:
+            return "stopping"
+        if self.config_store.force is None:
+            return "a configuration"
+        return (
+            "" if self.membership.enough(p.name for p in self.membership.able_stores()) else "enough stores"
+        )
+
+    # The end.
+
+    async def stop(self) -> None:
+        """Leave in order: finish what is out, give the rest to others, well inside the grace."""
+        self.stopping = True
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.settings.bounds.grace_s
+        log_event(Event.STOPPING, self.settings.node)
+        if self.front is not None:
+            self.front.drain(True)
+            still = loop.time() + min(TAKE_STILL, self.settings.bounds.grace_s * 0.45)
+            while loop.time() < still:
+                await asyncio.sleep(0.05)
+            self.front.close_listener()
+            while (self.front.busy or self.front.has_clients) and loop.time() < until - 1.5:
+                await asyncio.sleep(0.05)
+        if self.replicator is not None and self.dispatcher is not None:
+            self.replicator.become(Phase.CLOSING)
+            if self.control_listener is not None:
+                self.control_listener.close_listener()
+                self.control_listener.drain(True)
+            await self.dispatcher.close(self.replicator.ownership.hand_over, until)
+            while loop.time() < until - 1.0 and (
+                self.replicator.busy or (self.control_listener is not None and self.control_listener.busy)
+            ):
+                await asyncio.sleep(0.02)
+            for peer in self.membership.peers.values():
+                peer.flush()
+            await asyncio.sleep(0.03)
+            await self.replicator.settled()
+        self.membership.close()
+        await asyncio.sleep(0.02)
+        if self.replicator is not None:
+            self.replicator.local_store.database.close()
+        log_event(Event.STOPPED, self.settings.node)
+        self.tasks.cancel()
+
+
+__all__ = ["Node", "PeerState"]
--- a/huts/role.py
+++ b/emberlatch/cluster/process.py
@@ -1,4 +1,4 @@
-"""A role as a process: settings, loop, signals."""
+"""A node as a process: settings, loop, signals."""
 
 from __future__ import annotations
 
@@ -14,19 +14,19 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.node import Node
+from emberlatch.cluster.settings import NodeSettings, SettingsError, read_settings
 from emberlatch.engine import Machine
-from huts.events import Event, say
-from huts.hut import Hut
-from huts.waymark import Boot, SettingsError, read_boot
 
 LOOK = 1.0  # seconds between two looks whether the settings file has changed
 
 
-class Role:
+class NodeProcess:
     """See the module."""
 
-    def __init__(self, path: Path, boot: Boot) -> None:
-        self._path, self._boot = path, boot
+    def __init__(self, path: Path, settings: NodeSettings) -> None:
+        self._path, self._settings = path, settings
         self._ended = asyncio.Event()
         self._code = 0
         self._disk = ThreadPoolExecutor(1, "disk")
@@ -35,7 +35,7 @@
         await asyncio.get_running_loop().run_in_executor(self._disk, work)
 
     def _failed(self, error: OSError) -> None:
-        say(Event.DISK_FAILED, str(error))
+        log_event(Event.DISK_FAILED, str(error))
         self._code = 3
         self._ended.set()
 
@@ -44,27 +44,27 @@
         loop = asyncio.get_running_loop()
         machine = Machine()
         life = max(1, int(time.time() * 1000))
-        hut = Hut(self._boot, machine, self._offload, life, random.randrange(1 << 30), self._failed)
+        node = Node(self._settings, machine, self._offload, life, random.randrange(1 << 30), self._failed)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._ended.set)
         loop.add_signal_handler(signal.SIGHUP, self._again)
-        await hut.start()
+        await node.start()
         gc.collect()
         gc.freeze()  # what was there at the start is not walked again
         watch = loop.create_task(self._watch())
         await self._ended.wait()
         watch.cancel()
         if self._code == 0:
-            await hut.stop()
+            await node.stop()
         return self._code
 
     def _again(self) -> None:
         """The settings file has changed: a sound one is noted, any other changes nothing."""
         try:
-            self._boot = read_boot(self._path)
-            say(Event.SETTINGS_AGAIN, str(self._path))
+            self._settings = read_settings(self._path)
+            log_event(Event.SETTINGS_AGAIN, str(self._path))
         except SettingsError as error:
-            say(Event.SETTINGS_BAD, str(error))
+            log_event(Event.SETTINGS_BAD, str(error))
 
     async def _watch(self) -> None:
         seen = self._stamp()
@@ -85,19 +85,19 @@
     """The process's exit code: 2 for bad settings."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname).1s %(message)s")
     try:
-        boot = read_boot(Path(path))
+        settings = read_settings(Path(path))
     except SettingsError as error:
         print(error, file=sys.stderr)
         return 2
     try:
         import uvloop
     except ImportError:
-        code = asyncio.run(_main(Path(path), boot))
+        code = asyncio.run(_main(Path(path), settings))
     else:
-        code = uvloop.run(_main(Path(path), boot))
+        code = uvloop.run(_main(Path(path), settings))
     sys.stderr.flush()
     os._exit(code)  # threads of the pool may still wait
 
 
-async def _main(path: Path, boot: Boot) -> int:
-    return await Role(path, boot).run()
+async def _main(path: Path, settings: NodeSettings) -> int:
+    return await NodeProcess(path, settings).run()
--- a/huts/rations/__init__.py
+++ b/emberlatch/cluster/rate_limits/__init__.py
@@ -1,5 +1,5 @@
 """Shares of a service's limit: what this process may send of what all may send together."""
 
-from huts.rations.ration import Ration
+from emberlatch.cluster.rate_limits.rate_share import RateShare
 
-__all__ = ["Ration"]
+__all__ = ["RateShare"]
--- a/huts/rations/ration.py
+++ b/emberlatch/cluster/rate_limits/rate_share.py
@@ -10,7 +10,7 @@
 SPARE = 5.0  # arrivals above the excess that the rule allows in a window
 
 
-class Ration:
+class RateShare:
     """`span` and `excess` are the rule's: seconds of its window, and what may come over rate x window."""
 
     def __init__(self, span: float, excess: float, now: float) -> None:
--- a/huts/rope/strand.py
+++ b/emberlatch/cluster/rpc/connection.py
@@ -14,16 +14,16 @@
 
 import cbor2
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.rpc.counters import TrafficCounters
 from emberlatch.engine import Machine, Tasks
 from emberlatch.net.accept import Acceptor
-from huts.events import Event, say
-from huts.rope.tally import Tally
 
 MOST_FRAME = 8 * 1024 * 1024  # bytes
 MOST_ASKED = 20_000  # questions of one connection that have no answer yet
 ASK, ANSWER, FAILED, TELL = range(4)
 
-Serve = Callable[["Strand", str, Any], Any]
+Serve = Callable[["RpcConnection", str, Any], Any]
 """Serves a question: returns the answer, or a coroutine that brings it. Raises what is told as text."""
 
 
@@ -35,13 +35,13 @@
         self.step, self.peer, self.text, self.sent = step, peer, text, sent
 
 
-class Strand(asyncio.Protocol):
+class RpcConnection(asyncio.Protocol):
     """One end of a connection."""
 
     transport: asyncio.Transport
 
-    def __init__(self, serve: Serve, tasks: Tasks, tally: Tally, name: str = "?") -> None:
-        self.name, self._serve, self._tasks, self._tally = name, serve, tasks, tally
+    def __init__(self, serve: Serve, tasks: Tasks, counters: TrafficCounters, name: str = "?") -> None:
+        self.name, self._serve, self._tasks, self._counters = name, serve, tasks, counters
         self._buffer = bytearray()
         self._number = 0
         self._asked: dict[int, asyncio.Future[Any]] = {}
@@ -99,7 +99,7 @@
 
     def _write(self, frame: list[Any], about: str) -> None:
         data = cbor2.dumps(frame)
-        self._tally.count(self.name, about, 4 + len(data))
+        self._counters.count(self.name, about, 4 + len(data))
         if not self._out:  # what is written in one turn leaves in one piece
             asyncio.get_running_loop().call_soon(self._flush)
         self._out.append(len(data).to_bytes(4, "big"))
@@ -127,7 +127,7 @@
                 if self.closed:
                     return
         except Exception as error:  # whatever it is, it costs its sender this connection
-            say(Event.PEER_RUBBISH, self.name, repr(error)[:200])
+            log_event(Event.PEER_RUBBISH, self.name, repr(error)[:200])
             return self.close()
         del self._buffer[:at]
 
@@ -154,7 +154,7 @@
         try:
             answer = self._serve(self, method, payload)
         except Exception as error:
-            say(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
+            log_event(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
             if number is not None:
                 self._write([FAILED, number, repr(error)[:200]], f"={method}")
             return
@@ -168,7 +168,7 @@
             told = await answer
         except Exception as error:
             if not isinstance(error, Lost):
-                say(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
+                log_event(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
             if number is not None and not self.closed:
                 self._write([FAILED, number, repr(error)[:200]], f"={method}")
             return
@@ -176,24 +176,29 @@
             self._write([ANSWER, number, told], f"={method}")
 
 
-class RopeServer:
+class RpcServer:
     """Listens for other processes."""
 
     def __init__(
-        self, machine: Machine, address: tuple[str, int], serve: Serve, tasks: Tasks, tally: Tally
+        self,
+        machine: Machine,
+        address: tuple[str, int],
+        serve: Serve,
+        tasks: Tasks,
+        counters: TrafficCounters,
     ) -> None:
-        self._serve, self._tasks, self._tally = serve, tasks, tally
-        self.strands: set[Strand] = set()
+        self._serve, self._tasks, self._counters = serve, tasks, counters
+        self.connections: set[RpcConnection] = set()
         self._acceptor = Acceptor(machine.listen(address), self._make, tasks)
 
-    def _make(self) -> Strand:
-        strand = Strand(self._serve, self._tasks, self._tally)
-        self.strands.add(strand)
-        strand.gone = lambda: self.strands.discard(strand)
-        return strand
+    def _make(self) -> RpcConnection:
+        connection = RpcConnection(self._serve, self._tasks, self._counters)
+        self.connections.add(connection)
+        connection.gone = lambda: self.connections.discard(connection)
+        return connection
 
     def close(self) -> None:
         """Listen no more, and end what came in."""
         self._acceptor.close()
-        for strand in list(self.strands):
-            strand.leave()
+        for connection in list(self.connections):
+            connection.leave()
--- a/huts/rope/tally.py
+++ b/emberlatch/cluster/rpc/counters.py
@@ -8,7 +8,7 @@
 """A peer's node, and the method; answers to it are counted under it, with an `=` before."""
 
 
-class Tally:
+class TrafficCounters:
     """See the module. What it holds is bounded by peers x methods."""
 
     def __init__(self) -> None:
--- a/huts/rope/peer.py
+++ b/emberlatch/cluster/rpc/peer.py
@@ -7,10 +7,10 @@
 from enum import Enum
 from typing import Any, Protocol
 
+from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.rpc.connection import Lost, RpcConnection, Serve
+from emberlatch.cluster.rpc.counters import TrafficCounters
 from emberlatch.engine import Tasks
-from huts.events import Event, say
-from huts.rope.strand import Lost, Serve, Strand
-from huts.rope.tally import Tally
 
 BEAT = 0.4  # seconds between two questions whether the other side is there, where nothing else is wished
 MISSED, SLACK = 2.0, 0.5  # a link is given up after so many beats, and so many seconds, without a word
@@ -61,17 +61,17 @@
         serve: Serve,
         tasks: Tasks,
         words: Words,
-        tally: Tally,
+        counters: TrafficCounters,
     ) -> None:
         self.name, self.address = name, address
-        self._serve, self._tasks, self._words, self._tally = serve, tasks, words, tally
+        self._serve, self._tasks, self._words, self._counters = serve, tasks, words, counters
         self.state = PeerState.DIALLING
         self.since = asyncio.get_running_loop().time()  # of the present state
         self.began = self.since
         self.last_up = -1e9  # loop time at which it was last known to be there
         self.spoken = -1e9  # loop time at which its process dialled us and said who it is
         self._hurry = asyncio.Event()
-        self.strand: Strand | None = None
+        self.connection: RpcConnection | None = None
         self._failed = 0
         self._task = tasks.spawn(self._keep())
 
@@ -84,31 +84,31 @@
         """The one place in which its state changes."""
         now = asyncio.get_running_loop().time()
         if state is PeerState.UP or self.state is PeerState.UP:
-            self.last_up = now if state is PeerState.UP or self.strand is None else self.strand.heard
+            self.last_up = now if state is PeerState.UP or self.connection is None else self.connection.heard
         if state is self.state and self.spoken < self.since:
             return
         was, self.state, self.since = self.state, state, now
         if state is PeerState.UP:
-            say(Event.PEER_UP, self.name)
+            log_event(Event.PEER_UP, self.name)
         elif was is PeerState.UP:
-            say(Event.PEER_DOWN, self.name, state.value)
+            log_event(Event.PEER_DOWN, self.name, state.value)
         self._words.changed(self)
 
     @property
     def lagging(self) -> bool:
         """Whether it owes an answer for so long that another is better asked."""
-        return self.strand is not None and self.strand.lag() > LAG
+        return self.connection is not None and self.connection.lag() > LAG
 
     @property
     def stuck(self) -> bool:
         """Whether it owes an answer for so long that none is to be expected from it."""
-        return self.strand is not None and self.strand.lag() > STUCK
+        return self.connection is not None and self.connection.lag() > STUCK
 
     async def ask(self, method: str, payload: Any, timeout: float) -> Any:
         """Ask; raises Lost with `sent` if there is no answer in time."""
-        if self.strand is None or not self.up:
+        if self.connection is None or not self.up:
             raise Lost(method, self.name, "no link", False)
-        future = self.strand.ask(method, payload)
+        future = self.connection.ask(method, payload)
         done, _ = await asyncio.wait({future}, timeout=timeout)
         if not done:
             future.cancel()
@@ -120,9 +120,9 @@
 
     def tell(self, method: str, payload: Any) -> bool:
         """Tell; false if there is no link."""
-        if self.strand is None or not self.up:
+        if self.connection is None or not self.up:
             return False
-        self.strand.tell(method, payload)
+        self.connection.tell(method, payload)
         return True
 
     def speaks(self) -> None:
@@ -132,14 +132,14 @@
 
     def flush(self) -> None:
         """What was told leaves now."""
-        if self.strand is not None:
-            self.strand._flush()
+        if self.connection is not None:
+            self.connection._flush()
 
     def close(self) -> None:
         """Keep it no longer."""
         self._task.cancel()
-        if self.strand is not None:
-            self.strand.leave()
+        if self.connection is not None:
+            self.connection.leave()
 
     async def _keep(self) -> None:
         while True:
@@ -154,41 +154,41 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT):
-                _, strand = await loop.create_connection(
-                    lambda: Strand(self._serve, self._tasks, self._tally, self.name), *self.address
+                _, connection = await loop.create_connection(
+                    lambda: RpcConnection(self._serve, self._tasks, self._counters, self.name), *self.address
                 )
         except ConnectionRefusedError:
             return self._become(PeerState.REFUSED)
         except (OSError, TimeoutError):
             return self._become(PeerState.SILENT)
         lost = asyncio.Event()
-        strand.gone = lost.set
+        connection.gone = lost.set
         try:
             async with asyncio.timeout(CONNECT):
-                told = await strand.ask("hello", self._words.hello())
-            self.strand = strand
+                told = await connection.ask("hello", self._words.hello())
+            self.connection = connection
             self._words.greeted(self, told)
             self._failed = 0
             self._become(PeerState.UP)
-            await self._watch(strand, lost)
+            await self._watch(connection, lost)
         except (Lost, TimeoutError):
             pass
         finally:
-            self.strand = None
-            if not strand.closed:
-                strand.close()
-        silent = loop.time() - strand.heard > self._silent()
+            self.connection = None
+            if not connection.closed:
+                connection.close()
+        silent = loop.time() - connection.heard > self._silent()
         self._become(PeerState.SILENT if silent else PeerState.DIALLING)
 
     def _silent(self) -> float:
         """Seconds without a word after which a link is given up."""
         return MISSED * self._words.every() + SLACK
 
-    async def _watch(self, strand: Strand, lost: asyncio.Event) -> None:
+    async def _watch(self, connection: RpcConnection, lost: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
-        while not strand.closed and loop.time() - strand.heard <= self._silent():
-            strand.ask("beat", self._words.beat()).add_done_callback(self._beaten)
-            self.last_up = strand.heard
+        while not connection.closed and loop.time() - connection.heard <= self._silent():
+            connection.ask("beat", self._words.beat()).add_done_callback(self._beaten)
+            self.last_up = connection.heard
             try:
                 async with asyncio.timeout(self._words.every()):
                     await lost.wait()
--- a/huts/waymark/boot.py
+++ b/emberlatch/cluster/settings/node_settings.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Boot:
+class NodeSettings:
     """What a process is told. Addresses are (host, port)."""
 
     node: str
@@ -72,7 +72,7 @@
         return "store" in self.serves and self.data_dir is not None
 
 
-def read_boot(path: Path) -> Boot:
+def read_settings(path: Path) -> NodeSettings:
     """Read and check the file; SettingsError names the first fault with its line."""
     try:
         text = path.read_text()
@@ -82,7 +82,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         where = re.search(r"line (\d+)", str(error))
         raise SettingsError(f"{path}:{where[1] if where else 0}: not TOML: {error}") from None
-    return _Reader(path, text, raw).boot()
+    return _Reader(path, text, raw).settings()
 
 
 class _Reader:
@@ -126,7 +126,7 @@
             **{n: self._number(f"bounds.{n}", getattr(usual, n)) for n in Bounds.__dataclass_fields__}
         )
 
-    def boot(self) -> Boot:
+    def settings(self) -> NodeSettings:
         """All of it."""
         ports = self._get("port_range", list)
         if len(ports) != 2 or not all(isinstance(p, int) and 0 < p < 65536 for p in ports):
@@ -140,9 +140,9 @@
             if name not in listen:
                 raise self._fail(f"listen.{name}", "missing")
         resilience = {n: int(self._number(f"resilience.{n}", 0)) for n in Resilience.__dataclass_fields__}
-        return Boot(
+        return NodeSettings(
             node=self._get("node", str),
-            role=self._get("role", str, "hut"),
+            role=self._get("role", str, "node"),
             node_class=self._get("node_class", str, ""),
             serves=serves,
             ip=self._get("ip", str),
--- a/huts/weather/actors.py
+++ b/emberlatch/simulation/actors.py
@@ -11,10 +11,10 @@
 
 from emberlatch.faults.loop import Process
 from emberlatch.net.http import BrokenError, Connection, Response, connect
-from huts.weather.history import Run, Sent
+from emberlatch.simulation.history import Run, Sent
 
 if TYPE_CHECKING:
-    from huts.weather.mountain import Mountain
+    from emberlatch.simulation.cluster import SimulatedCluster
 
 MOST = 1 << 20
 REASON = {
@@ -73,7 +73,9 @@
 class Target:
     """One life of a target. `address` may have been another's."""
 
-    def __init__(self, world: Mountain, id: str, service: str, zone: str, address: tuple[str, int]) -> None:
+    def __init__(
+        self, world: SimulatedCluster, id: str, service: str, zone: str, address: tuple[str, int]
+    ) -> None:
         self.world, self.id, self.service, self.zone, self.address = world, id, service, zone, address
         self.capacity, self.queue, self.busy, self.waiting = 2, 8, 0, 0
         self.work, self.lost = 0.06, 0.0
@@ -183,7 +185,7 @@
 class Clients:
     """Clients of one zone: a request each, a few tries, each by another forwarder."""
 
-    def __init__(self, world: Mountain, zone: str, per_s: float) -> None:
+    def __init__(self, world: SimulatedCluster, zone: str, per_s: float) -> None:
         self.world, self.zone, self.per_s = world, zone, per_s
         self.random = random.Random(f"{world.plan.seed} {zone}")
 
@@ -235,7 +237,7 @@
 class Operator:
     """Sends configurations, each until it is acknowledged, and reads back what stands."""
 
-    def __init__(self, world: Mountain) -> None:
+    def __init__(self, world: SimulatedCluster) -> None:
         self.world = world
 
     async def send(self, revision: int, tries: int = 20) -> bool:
--- a/huts/weather/mountain.py
+++ b/emberlatch/simulation/cluster.py
@@ -1,4 +1,4 @@
-"""A simulated deployment: machines in zones, each with the real `Hut`, on one virtual clock and network."""
+"""A simulated deployment: machines in zones, each with the real `Node`, on one virtual clock and network."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 from pathlib import Path
 from typing import Any
 
+from emberlatch.cluster.node import Node
+from emberlatch.cluster.settings.node_settings import Bounds, NodeSettings, Resilience
 from emberlatch.engine import Machine
 from emberlatch.faults.loop import Process, VirtualLoop, current
 from emberlatch.faults.network import Network
-from huts.hut import Hut
-from huts.waymark.boot import Boot, Bounds, Resilience
-from huts.weather.actors import Target
-from huts.weather.history import History
+from emberlatch.simulation.actors import Target
+from emberlatch.simulation.history import History
 
 INNER, FRONT, READY, CONTROL = 7300, 8000, 8001, 8002
 SYNC = 0.001  # seconds for a disk to sync
@@ -78,19 +78,19 @@
         return name
 
 
-class Node:
+class SimulatedNode:
     """A machine of the system and the process on it."""
 
-    def __init__(self, world: Mountain, name: str, zone: str, host: str, store: bool) -> None:
+    def __init__(self, world: SimulatedCluster, name: str, zone: str, host: str, store: bool) -> None:
         self.world, self.name, self.zone, self.host, self.store = world, name, zone, host, store
         self.folder = world.folder / name
         self.process: Process | None = None
-        self.hut: Hut | None = None
+        self.program: Node | None = None
         self.lives = 0
         self.stopping = self.off = False
         self.skew, self.disk_s = world.random.uniform(-0.02, 0.02), SYNC
 
-    def boot(self) -> Boot:
+    def settings(self) -> NodeSettings:
         """What its process is told."""
         listen = (
             {"control": (self.host, CONTROL)}
@@ -98,8 +98,8 @@
             else {"front": (self.host, FRONT), "ready": (self.host, READY)}
         )
         world = self.world
-        return Boot(
-            node=self.name, role="hut", node_class="store" if self.store else "front",
+        return NodeSettings(
+            node=self.name, role="node", node_class="store" if self.store else "front",
             serves=("store", "control") if self.store else ("front",), ip=self.host, zone=self.zone,
             region="r", inner_port=INNER,
             seeds=tuple((n.host, CONTROL) for n in world.nodes.values() if n.store)[:3],
@@ -120,11 +120,11 @@
         if self.up or self.off:
             return
         self.process, self.stopping = Process(self.host), False
-        boot = self.boot()
+        settings = self.settings()
         self.lives += 1
-        self.world.run_in(self.process, self._run(boot, self.lives))
+        self.world.run_in(self.process, self._run(settings, self.lives))
 
-    async def _run(self, boot: Boot, life: int) -> None:
+    async def _run(self, settings: NodeSettings, life: int) -> None:
         world = self.world
         machine = Machine(
             wall=lambda: 1.7e9 + world.loop.time() + self.skew, boot=lambda: "", listen=world.network.listen
@@ -134,12 +134,14 @@
             await asyncio.sleep(self.disk_s)
             work()
 
-        self.hut = Hut(boot, machine, offload, life, world.random.randrange(1 << 30), lambda _: self.kill())
-        await self.hut.start()
+        self.program = Node(
+            settings, machine, offload, life, world.random.randrange(1 << 30), lambda _: self.kill()
+        )
+        await self.program.start()
 
     def _drop_disk_handle(self) -> None:
-        if self.hut is not None and self.hut.keeper is not None:
-            self.hut.keeper.stock.ledger.abandon()
+        if self.program is not None and self.program.replicator is not None:
+            self.program.replicator.local_store.database.abandon()
 
     def kill(self, again: float = DOWN) -> None:
         """SIGKILL; it is started again after a while."""
@@ -150,13 +152,13 @@
 
     def term(self) -> None:
         """SIGTERM, SIGKILL after the grace, and a new start."""
-        if not self.up or self.stopping or self.hut is None or self.process is None:
+        if not self.up or self.stopping or self.program is None or self.process is None:
             return
         self.stopping = True
-        process, hut = self.process, self.hut
+        process, program = self.process, self.program
 
         async def stop() -> None:
-            await hut.stop()
+            await program.stop()
             process.kill()
             self.world.later(DOWN, self.start)
 
@@ -183,7 +185,7 @@
         self.start()
 
 
-class Mountain:
+class SimulatedCluster:
     """See the module."""
 
     def __init__(self, plan: Plan) -> None:
@@ -191,20 +193,20 @@
         self.loop = VirtualLoop()
         self.random = random.Random(plan.seed)
         random.seed(plan.seed)
-        self.folder = Path(tempfile.mkdtemp(prefix="huts-"))
+        self.folder = Path(tempfile.mkdtemp(prefix="emberlatch-"))
         self._zones: dict[str, str] = {}
         self.network = Net(self.loop, plan.seed, lambda host: self._zones.get(host, ""))
         self.history = History()
         self.count, self.first = 0, True
         self.beat_s, self.drain_s, self.early_s, self.grace_s = 1.2, 3.0, 0.1, 6.0
-        self.nodes: dict[str, Node] = {}
+        self.nodes: dict[str, SimulatedNode] = {}
         zones = [f"z{n}" for n in range(plan.zones)]
         for kind, count in (("s", plan.stores), ("f", plan.fronts)):
             for n in range(count):
                 zone = zones[n % len(zones)]
                 host = f"10.{n % len(zones)}.{1 if kind == 's' else 2}.{n}"
                 self._zones[host] = zone
-                self.nodes[f"{kind}{n}"] = Node(self, f"{kind}{n}", zone, host, kind == "s")
+                self.nodes[f"{kind}{n}"] = SimulatedNode(self, f"{kind}{n}", zone, host, kind == "s")
         self.targets: dict[str, Target] = {}
         self.services = ["ledger", "desk"]
         self.places = [("ledger", "a.example", "/l/"), ("desk", "a.example", "/d/")]
@@ -249,7 +251,9 @@
     def front(self, zone: str, chance: random.Random) -> tuple[str, int] | None:
         """A forwarder that said that it is ready, of this zone if there is one."""
         ready = [
-            n for n in self.nodes.values() if not n.store and n.up and n.hut is not None and not n.hut.lacks()
+            n
+            for n in self.nodes.values()
+            if not n.store and n.up and n.program is not None and not n.program.lacks()
         ]
         own = [n for n in ready if n.zone == zone] or ready
         return (chance.choice(own).host, FRONT) if own else None
@@ -263,11 +267,11 @@
         await self.run_in(target.process, target.start())
         return target
 
-    def add_store(self, name: str, zone: str) -> Node:
+    def add_store(self, name: str, zone: str) -> SimulatedNode:
         """A machine more, with an empty disk."""
         host = f"10.{zone[1:]}.1.{100 + len(self.nodes)}"
         self._zones[host] = zone
-        node = self.nodes[name] = Node(self, name, zone, host, True)
+        node = self.nodes[name] = SimulatedNode(self, name, zone, host, True)
         node.start()
         return node
 
@@ -278,7 +282,7 @@
             route["nominal_start_ms"] = nominal_start_ms
         return json.dumps(told).encode()
 
-    def silence(self, node: Node) -> None:
+    def silence(self, node: SimulatedNode) -> None:
         """No power: nothing comes from it or gets there, and nobody is told."""
         for port in (INNER, FRONT, READY, CONTROL):
             self.network.isolate((node.host, port))
@@ -293,7 +297,7 @@
             process.alive = False
         node._drop_disk_handle()
 
-    def speak(self, node: Node) -> None:
+    def speak(self, node: SimulatedNode) -> None:
         """The power is back: what it had is reset."""
         for port in (INNER, FRONT, READY, CONTROL):
             self.network.rejoin((node.host, port))
--- a/huts/weather/growth.py
+++ b/emberlatch/simulation/growth.py
@@ -7,8 +7,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from huts.weather.mountain import Mountain, Plan
-from huts.weather.play import Day, play
+from emberlatch.simulation.cluster import Plan, SimulatedCluster
+from emberlatch.simulation.scenario import Scenario, play
 
 CALM = 10.0  # seconds that are measured
 
@@ -33,9 +33,9 @@
     found = Growth(forwarders, stores)
     plan = Plan(seed, zones=zones, fronts=forwarders, stores=stores, targets=targets)
 
-    async def scene(day: Day) -> None:
-        world, loop = day.world, day.world.loop
-        await day.start()
+    async def scene(scenario: Scenario) -> None:
+        world, loop = scenario.world, scenario.world.loop
+        await scenario.start()
         found.start_over = sum(_over(world).values())
         before, frames, cpu = _over(world), _frames(world), time.process_time()
         began = loop.time()
@@ -47,8 +47,10 @@
         found.methods = Counter({m: n - before.get(m, 0) for m, n in _over(world).items()})
         found.over = sum(found.methods.values()) / CALM
         began = loop.time()
-        sending = loop.create_task(day.operator.send(9))
-        while any(n.hut is not None and n.hut.cairn.revision < 9 for n in world.nodes.values()):
+        sending = loop.create_task(scenario.operator.send(9))
+        while any(
+            n.program is not None and n.program.config_store.revision < 9 for n in world.nodes.values()
+        ):
             await asyncio.sleep(0.01)
             assert loop.time() < began + 20, "a configuration did not get everywhere"
         found.known_s = loop.time() - began
@@ -59,17 +61,21 @@
     return found
 
 
-def _over(world: Mountain) -> Counter[str]:
+def _over(world: SimulatedCluster) -> Counter[str]:
     """Bytes over borders by method, since the start."""
     sums: Counter[str] = Counter()
     for node in world.nodes.values():
-        if node.hut is not None:
+        if node.program is not None:
             far = {n.name for n in world.nodes.values() if n.zone != node.zone}
-            for method, (_, size) in node.hut.party.tally.over(far.__contains__).items():
+            for method, (_, size) in node.program.membership.counters.over(far.__contains__).items():
                 sums[method] += size
     return sums
 
 
-def _frames(world: Mountain) -> dict[str, int]:
-    sent = ((n, node.hut.party.tally.sent) for n, node in world.nodes.items() if node.hut is not None)
+def _frames(world: SimulatedCluster) -> dict[str, int]:
+    sent = (
+        (n, node.program.membership.counters.sent)
+        for n, node in world.nodes.items()
+        if node.program is not None
+    )
     return {name: sum(frames for frames, _ in sums.values()) for name, sums in sent}
--- a/huts/weather/mending.py
+++ b/emberlatch/simulation/mending.py
@@ -7,9 +7,9 @@
 import time
 from dataclasses import dataclass
 
-from huts.refuge import Record, State
-from huts.weather.mountain import Mountain, Plan
-from huts.weather.play import Day, play
+from emberlatch.cluster.message_store import Record, State
+from emberlatch.simulation.cluster import Plan, SimulatedCluster
+from emberlatch.simulation.scenario import Scenario, play
 
 BODY = 1000  # bytes of a message that waits
 NODES = "s0", "s1"
@@ -33,24 +33,24 @@
     """So many records that two stores keep, of which one lacks some; of these a share waits with its body."""
     found = Mending(records, lacking)
 
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         _fill(world, found, waiting, random.Random(seed))
-        keeper = world.nodes["s0"].hut.keeper  # type: ignore[union-attr]
-        assert keeper is not None
-        peer = keeper.repair._stores()["s1"]
+        replicator = world.nodes["s0"].program.replicator  # type: ignore[union-attr]
+        assert replicator is not None
+        peer = replicator.repair._stores()["s1"]
         watch = asyncio.get_running_loop().create_task(_longest(found))
         for again in (False, True):
             before, cpu = _sent(world), time.process_time()
-            await keeper.repair.mend(peer)
-            assert keeper.repair.mended.get("s1") is not None
+            await replicator.repair.mend(peer)
+            assert replicator.repair.mended.get("s1") is not None
             frames, size = (now - then for now, then in zip(_sent(world), before, strict=True))
             if again:
                 found.again_bytes = size
             else:
                 found.frames, found.bytes, found.cpu_s = frames, size, time.process_time() - cpu
-                held = world.nodes["s1"].hut.keeper.stock.shelf.records  # type: ignore[union-attr]
+                held = world.nodes["s1"].program.replicator.local_store.index.records  # type: ignore[union-attr]
                 assert len(held) == records, f"{len(held)} of {records} after mending"
         watch.cancel()
 
@@ -58,35 +58,35 @@
     return found
 
 
-def _fill(world: Mountain, found: Mending, waiting: float, chance: random.Random) -> None:
-    """Put records on both shelves; what is lacking on one is what both would have got last."""
-    shelves = [world.nodes[name].hut.keeper.stock.shelf for name in NODES]  # type: ignore[union-attr]
+def _fill(world: SimulatedCluster, found: Mending, waiting: float, chance: random.Random) -> None:
+    """Put records on both indexes; what is lacking on one is what both would have got last."""
+    indexes = [world.nodes[name].program.replicator.local_store.index for name in NODES]  # type: ignore[union-attr]
     now = world.loop.time()
     for number in range(found.records):
         open_ = chance.random() < waiting
         body = chance.randbytes(BODY) if open_ else None
         made = []
-        for _ in shelves:
+        for _ in indexes:
             record = Record(
                 f"{number:x}m{chance.randrange(1 << 40):x}", "h.example", "POST", "/l/x", "", body
             )
             made.append(record)
-        for shelf, record in zip(shelves, made, strict=True):
+        for index, record in zip(indexes, made, strict=True):
             record.id = made[0].id
             record.state, record.seal = (State.QUEUED, "") if open_ else (State.DONE, "3e1b.07.5a2.600.0")
-            record.holder, record.epoch, record.keepers = NODES[0], 1, NODES
+            record.holder, record.epoch, record.replicas = NODES[0], 1, NODES
             record.due, record.end, record.ended = now + 1e6, now + 2e6, 0.0 if open_ else now
-            lacks = shelf is shelves[1] and number >= found.records - found.lacking
+            lacks = index is indexes[1] and number >= found.records - found.lacking
             found.least += 120 + len(body or b"") if lacks else 0
             if not lacks:
-                shelf.put(record)
+                index.put(record)
 
 
-def _sent(world: Mountain) -> tuple[int, int]:
+def _sent(world: SimulatedCluster) -> tuple[int, int]:
     sums = [
         sum_
         for name in NODES
-        for sum_ in world.nodes[name].hut.party.tally.sent.values()  # type: ignore[union-attr]
+        for sum_ in world.nodes[name].program.membership.counters.sent.values()  # type: ignore[union-attr]
     ]
     return sum(s[0] for s in sums), sum(s[1] for s in sums)
 
--- a/huts/weather/play.py
+++ b/emberlatch/simulation/scenario.py
@@ -10,9 +10,9 @@
 
 from emberlatch.faults.run import abandon
 from emberlatch.net.http import BrokenError
-from huts.weather.actors import Clients, Operator, ask
-from huts.weather.history import Breach
-from huts.weather.mountain import FRONT, SYNC, Fault, Mountain, Node, Plan
+from emberlatch.simulation.actors import Clients, Operator, ask
+from emberlatch.simulation.cluster import FRONT, SYNC, Fault, Plan, SimulatedCluster, SimulatedNode
+from emberlatch.simulation.history import Breach
 
 SETTLE = 12.0  # seconds after the last message until the end is asked for
 STORE_FAULTS = ("kill", "term", "power", "wipe", "freeze", "cut", "replace", "add", "retire", "stall")
@@ -71,10 +71,10 @@
     )  # fmt: skip
 
 
-class Day:
+class Scenario:
     """Plays a plan."""
 
-    def __init__(self, world: Mountain) -> None:
+    def __init__(self, world: SimulatedCluster) -> None:
         self.world, self.plan = world, world.plan
         self.operator = Operator(world)
         self.revision = 3
@@ -170,7 +170,7 @@
         """A store more, with an empty disk."""
         self.world.add_store(f"s{len(self.world.nodes) + 10}", zone)
 
-    async def _retire(self, node: Node) -> None:
+    async def _retire(self, node: SimulatedNode) -> None:
         """Have a store emptied, and take it away with its disk once that is done."""
         for _ in range(100):
             for control in self.world.controls():
@@ -252,14 +252,14 @@
 
 
 def play(
-    plan: Plan, scene: Callable[[Day], Coroutine[Any, Any, None]] | None = None
-) -> tuple[Mountain, list[Breach]]:
+    plan: Plan, scene: Callable[[Scenario], Coroutine[Any, Any, None]] | None = None
+) -> tuple[SimulatedCluster, list[Breach]]:
     """Play a plan to its end, or a scene of one's own in its deployment; the world as it was left, and what
     was wrong."""
-    world = Mountain(plan)
+    world = SimulatedCluster(plan)
     try:
-        day = Day(world)
-        world.loop.run_until_complete(day.run() if scene is None else scene(day))
+        scenario = Scenario(world)
+        world.loop.run_until_complete(scenario.run() if scene is None else scene(scenario))
         for failure in world.loop.failures:
             world.history.breach("FAULT", world.loop.time(), failure)
         return world, sorted(world.history.breaches, key=lambda b: b.at)
--- a/tests/huts/orders.py
+++ b/tests/cluster/orders.py
@@ -2,7 +2,7 @@
 
 Frames are never used up: each may come late, again, or never. A store may die at any moment (its record is on
 disk, its call is lost) and comes back; who is dead may be taken over. Writing, taking, holding, handing over,
-ending, cancelling and claiming are steps as `Keeper` and `Holding` make them; what a copy becomes is decided by
+ending, cancelling and claiming are steps as `Replicator` and `Ownership` make them; what a copy becomes is decided by
 `Record.merge` alone.
 """
 
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from huts.refuge import Record, State
+from emberlatch.cluster.message_store import Record, State
 
 STORES = ("a", "b", "c")
 Copy = tuple[int, int, str]  # state, epoch, holder
@@ -164,7 +164,7 @@
 
 
 def taking_over(world: World) -> Iterator[World]:
-    """What a dead holder held is the first living keeper's."""
+    """What a dead holder held is the first living replica's."""
     for at, name in enumerate(STORES):
         copy = world.copies[at]
         if copy is None or world.dead[at] or copy[0] != State.QUEUED or copy[1] > 4:
--- a/tests/huts/support.py
+++ b/tests/cluster/support.py
@@ -7,21 +7,21 @@
 from contextlib import contextmanager
 from typing import Any
 
-from huts.refuge import Record, State
-from huts.weather import Breach, Fault, Mountain, Plan, play
-from huts.weather.actors import ask
-from huts.weather.history import Sent
-from huts.weather.mountain import FRONT
-from huts.weather.play import Day
+from emberlatch.cluster.message_store import Record, State
+from emberlatch.simulation import Breach, Fault, Plan, SimulatedCluster, play
+from emberlatch.simulation.actors import ask
+from emberlatch.simulation.cluster import FRONT
+from emberlatch.simulation.history import Sent
+from emberlatch.simulation.scenario import Scenario
 
 
-def day(*faults: Fault, seed: int = 7, **more: Any) -> tuple[Mountain, list[Breach]]:
+def scenario(*faults: Fault, seed: int = 7, **more: Any) -> tuple[SimulatedCluster, list[Breach]]:
     """A short day with these faults."""
     told = {"seconds": 6.0, "per_s": 30.0, "poison": 0.0} | more
     return play(Plan(seed, faults=faults, **told))
 
 
-def kept(world: Mountain) -> None:
+def kept(world: SimulatedCluster) -> None:
     """Every accepted message is completed, and there were some."""
     accepted = [s for s in world.history.sent.values() if s.answer == 202]
     assert len(accepted) > 50
@@ -41,7 +41,7 @@
 
 
 async def hand_in(
-    scene: Day, front: str = "f0", delay_ms: int = 0, body: bytes = b"x", poison: str = ""
+    scene: Scenario, front: str = "f0", delay_ms: int = 0, body: bytes = b"x", poison: str = ""
 ) -> Sent:
     """One message, by one forwarder."""
     world = scene.world
@@ -57,20 +57,20 @@
     return sent
 
 
-def record(id: str = "m", holder: str = "a", keepers: tuple[str, ...] = ("a", "b")) -> Record:
+def record(id: str = "m", holder: str = "a", replicas: tuple[str, ...] = ("a", "b")) -> Record:
     """A record as a store has it."""
     made = Record(id, "h.example", "POST", "/l/x", "", b"body")
-    made.holder, made.epoch, made.keepers = holder, 1, keepers
+    made.holder, made.epoch, made.replicas = holder, 1, replicas
     made.end = 1e9
     return made
 
 
-def on_disk(world: Mountain, id: str) -> list[str]:
+def on_disk(world: SimulatedCluster, id: str) -> list[str]:
     """The stores that would have the message after a loss of power everywhere."""
     found = []
     for name, node in world.nodes.items():
-        if node.up and node.hut is not None and node.hut.keeper is not None:
-            rows = node.hut.keeper.stock.ledger._db.execute(
+        if node.up and node.program is not None and node.program.replicator is not None:
+            rows = node.program.replicator.local_store.database._db.execute(
                 "SELECT id FROM records WHERE id = ?", (id,)
             ).fetchall()
             found += [name] if rows else []
@@ -90,12 +90,12 @@
     "Fault",
     "Plan",
     "State",
-    "day",
     "hand_in",
     "kept",
     "on_disk",
     "planted",
     "play",
     "record",
+    "scenario",
     "until",
 ]
--- a/tests/huts/test_asking.py
+++ b/tests/cluster/test_asking.py
@@ -6,16 +6,16 @@
 
 from ward import raises, test
 
-from huts.guide import asking
-from huts.rope import Lost
-from huts.weather.mountain import INNER
-from huts.weather.play import Day
-from tests.huts.support import Plan, hand_in, play
+from emberlatch.cluster.cli import asking
+from emberlatch.cluster.rpc import Lost
+from emberlatch.simulation.cluster import INNER
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import Plan, hand_in, play
 
 
 @test("status tells a healthy system from one with a store that is gone, and from none at all")
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         world = scene.world
         at = world.nodes["s1"].host, INNER
@@ -36,13 +36,13 @@
 
 @test("status names who has another configuration in force")
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         world = scene.world
-        cairn = world.nodes["s0"].hut.cairn
+        config_store = world.nodes["s0"].program.config_store
         told = await asking.look((world.nodes["s1"].host, INNER))
         for one in told:
-            one.beat["stands"] = 9 if one.member.node == "s0" else cairn.revision
+            one.beat["stands"] = 9 if one.member.node == "s0" else config_store.revision
         assert asking.wrong(told) == ["two configurations in force: 3 at s1,s2; 9 at s0"]
 
     play(Plan(32), scene)
@@ -52,7 +52,7 @@
     "why tells a message's life from all stores, while it waits and once it has ended; of an unknown one, that"
 )
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         world = scene.world
         sent = await hand_in(scene, delay_ms=2000)
--- a/tests/huts/test_caravan.py
+++ b/tests/cluster/test_batch.py
@@ -6,33 +6,33 @@
 
 from ward import test
 
-from huts.caravan import Caravan, Progress, Step
-from huts.weather.history import Sent
-from huts.weather.mountain import FRONT
-from huts.weather.play import Day
-from tests.huts.support import Plan, play
+from emberlatch.cluster.batch import BatchSender, Progress, Step
+from emberlatch.simulation.cluster import FRONT
+from emberlatch.simulation.history import Sent
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import Plan, play
 
 
-def caravan(day: Day, path: Path, count: int) -> Caravan:
-    world = day.world
+def sender(scenario: Scenario, path: Path, count: int) -> BatchSender:
+    world = scenario.world
     fronts = [(world.nodes[n].host, FRONT) for n in ("f0", "f1", "f2")]
     bodies = [f"body {n}".encode() for n in range(count)]
     for n, body in enumerate(bodies):
         for tried in range(30):
             id = f"pay-{n}-{tried}"
             world.history.sent[id] = Sent(id, 0.0, 0.0, "ledger", body)
-    return Caravan("pay", bodies, "a.example", "/l/x", fronts, Progress(path))
+    return BatchSender("pay", bodies, "a.example", "/l/x", fronts, Progress(path))
 
 
 @test("a batch that is stopped at any moment goes on and delivers each item once, while stores come and go")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "progress"
             for life in range(6):
-                made = caravan(day, path, 60)
+                made = sender(scenario, path, 60)
                 task = asyncio.get_running_loop().create_task(made.work(40.0))
                 await asyncio.sleep(0.4 + 0.07 * life)
                 task.cancel()
@@ -40,7 +40,7 @@
                 if life % 2:
                     world.nodes[f"s{life % 3}"].term()
             await asyncio.sleep(2.0)
-            made = caravan(day, path, 60)
+            made = sender(scenario, path, 60)
             await made.work(40.0)
             assert made.counts() == {"completed": 60}, str(made.counts())
         for n in range(60):
@@ -56,8 +56,8 @@
     "an item that nobody knows of is left as unclear, one that can't be handed in as refused; neither goes again"
 )
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "progress"
             progress = Progress(path)
@@ -65,12 +65,12 @@
             progress.close()
             with path.open("ab") as file:
                 file.write(b'{"item":1,"step":"tr')
-            made = caravan(day, path, 2)
+            made = sender(scenario, path, 2)
             made._path = "/nowhere/"
             for name in ("s0", "s1"):
-                day.world.nodes[name].power_off(60.0)
+                scenario.world.nodes[name].power_off(60.0)
             await made.work(40.0)
             assert [item.step for item in made.items] == [Step.UNCLEAR, Step.REFUSED]
-        assert not day.world.history.runs
+        assert not scenario.world.history.runs
 
     assert not play(Plan(42), scene)[1]
--- a/tests/huts/test_cluster.py
+++ b/tests/cluster/test_cluster.py
@@ -5,18 +5,18 @@
 
 from ward import each, test
 
-from huts.refuge import Phase
-from huts.refuge.repair import Repair
-from huts.rope import PeerState
-from huts.weather.actors import ask
-from huts.weather.mountain import CONTROL, FRONT, INNER
-from huts.weather.play import Day
-from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, planted, play, until
+from emberlatch.cluster.message_store import Phase
+from emberlatch.cluster.message_store.repair import Repair
+from emberlatch.cluster.rpc import PeerState
+from emberlatch.simulation.actors import ask
+from emberlatch.simulation.cluster import CONTROL, FRONT, INNER
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import Fault, Plan, hand_in, kept, on_disk, planted, play, scenario, until
 
 
 @test("on a calm day every message is delivered once")
 def _() -> None:
-    world, breaches = day()
+    world, breaches = scenario()
     assert not breaches, str(breaches[:3])
     kept(world)
     assert all(len([r for r in runs if r.status == 200]) == 1 for runs in world.history.runs.values())
@@ -24,28 +24,28 @@
 
 @test("202 is said once two disks have the message, so that either may be lost")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        for target in day.world.targets.values():
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        for target in scenario.world.targets.values():
             target.crash()
         for n in range(12):
-            sent = await hand_in(day, f"f{n % 3}")
-            assert sent.answer == 202 and len(on_disk(day.world, sent.id)) >= 2
+            sent = await hand_in(scenario, f"f{n % 3}")
+            assert sent.answer == 202 and len(on_disk(scenario.world, sent.id)) >= 2
 
     assert not play(Plan(1), scene)[1]
 
 
 @test("with one store left a message is refused with a promise and when to come again, and never runs")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for name in ("s0", "s1"):
             world.nodes[name].power_off(60.0)
         await asyncio.sleep(0.2)
-        told = [await hand_in(day) for _ in range(5)]
+        told = [await hand_in(scenario) for _ in range(5)]
         await asyncio.sleep(3.0)
-        told += [await hand_in(day) for _ in range(5)]
+        told += [await hand_in(scenario) for _ in range(5)]
         assert all(sent.answer in (503, 504) for sent in told), str([sent.answer for sent in told])
         assert told[-1].answer == 503
         promised = {sent.id for sent in told if sent.answer == 503}
@@ -57,16 +57,16 @@
 
 @test("a write whose second copy is unclear gives no promise, and does not run behind one")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for other in ("s1", "s2"):
             world.cut("s0", other, 30.0)
             for front in ("f0", "f1", "f2"):
                 if other == "s1":
                     world.cut(front, "s1", 30.0)
                 world.cut(front, "s2", 30.0)
-        sent = await hand_in(day)
+        sent = await hand_in(scenario)
         assert sent.answer in (503, 504)
         await asyncio.sleep(45.0)
         if sent.answer == 503:
@@ -75,12 +75,12 @@
     assert not play(Plan(3), scene)[1]
 
 
-@test("what a killed store held is delivered by the other keeper, long before that store is back")
+@test("what a killed store held is delivered by the other replica, long before that store is back")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = [await hand_in(day, f"f{n % 3}", delay_ms=1000) for n in range(12)]
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = [await hand_in(scenario, f"f{n % 3}", delay_ms=1000) for n in range(12)]
         world.nodes["s0"].kill(30.0)
         await asyncio.sleep(3.0)
         assert all(any(r.status == 200 for r in world.history.runs.get(s.id, [])) for s in sent)
@@ -90,10 +90,10 @@
 
 @test("what a silent store held is taken over once its lease is surely over", tags=["lease"])
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = [await hand_in(day, f"f{n % 3}", delay_ms=500) for n in range(12)]
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = [await hand_in(scenario, f"f{n % 3}", delay_ms=500) for n in range(12)]
         world.nodes["s1"].power_off(30.0)
         await asyncio.sleep(5.0)
         assert all(any(r.status == 200 for r in world.history.runs.get(s.id, [])) for s in sent)
@@ -103,16 +103,16 @@
 
 @test("a store that is cut off sends nothing before the others may take over what it holds")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = [await hand_in(day, "f0", delay_ms=2000) for _ in range(6)]
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = [await hand_in(scenario, "f0", delay_ms=2000) for _ in range(6)]
         for other in ("s1", "s2"):
             world.cut("s0", other, 20.0)
-        keeper = world.nodes["s0"].hut.keeper  # type: ignore[union-attr]
-        assert keeper is not None
-        await until(lambda: not keeper.holding.in_touch(), 3.0)
-        held = {r.id for r in keeper.stock.shelf.held("s0")}
+        replicator = world.nodes["s0"].program.replicator  # type: ignore[union-attr]
+        assert replicator is not None
+        await until(lambda: not replicator.ownership.in_touch(), 3.0)
+        held = {r.id for r in replicator.local_store.index.held("s0")}
         await asyncio.sleep(6.0)
         runs = world.history.runs
         assert all(len([r for r in runs.get(s.id, []) if r.status == 200]) == 1 for s in sent)
@@ -123,7 +123,7 @@
 
 @test("stores that are stopped one after the other under load lose nothing and repeat nothing")
 def _() -> None:
-    world, breaches = day(
+    world, breaches = scenario(
         Fault(0.5, "term", "s0"), Fault(3.0, "term", "s1"), Fault(5.5, "term", "s2"), seconds=8.0
     )
     assert not breaches, str(breaches[:3])
@@ -135,7 +135,7 @@
 @test("forwarders that are stopped one after the other break off no request")
 def _() -> None:
     faults = [Fault(0.5 + 2 * n, "term", f"f{n}") for n in range(3)]
-    world, breaches = day(*faults, seconds=9.0)
+    world, breaches = scenario(*faults, seconds=9.0)
     assert not breaches, str(breaches[:3])
     kept(world)
     assert not [s for s in world.history.sent.values() if s.answer == 0]
@@ -143,23 +143,23 @@
 
 @test("what was acknowledged outlasts: {what}")
 def _(what: str = each("all kill", "all power", "wipe and power")) -> None:
-    world, breaches = day(Fault(2.0, "configuration"), Fault(3.0, what, "s1", 1.0))
+    world, breaches = scenario(Fault(2.0, "configuration"), Fault(3.0, what, "s1", 1.0))
     assert not breaches, str(breaches[:3])
     kept(world)
 
 
 @test("an empty disk at a start that is not the first answers nothing until it is whole")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = [await hand_in(day, f"f{n % 3}", delay_ms=30_000) for n in range(30)]
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = [await hand_in(scenario, f"f{n % 3}", delay_ms=30_000) for n in range(30)]
         for name in ("s0", "s2"):
             world.nodes[name].power_off(4.0)
         world.nodes["s1"].power_off(0.5, wipe=True)
         await asyncio.sleep(2.5)
-        lost = world.nodes["s1"].hut
-        assert lost is not None and lost.keeper is not None and lost.keeper.phase is Phase.STARTING
+        lost = world.nodes["s1"].program
+        assert lost is not None and lost.replicator is not None and lost.replicator.phase is Phase.STARTING
         assert (
             await ask(
                 (world.nodes["s1"].host, CONTROL),
@@ -170,7 +170,7 @@
                 2.0,
             )
         ).status == 503
-        await until(lambda: lost.keeper.phase is Phase.SERVING, 10.0)  # type: ignore[union-attr]
+        await until(lambda: lost.replicator.phase is Phase.SERVING, 10.0)  # type: ignore[union-attr]
         await asyncio.sleep(1.0)
         assert all(len(on_disk(world, s.id)) >= 2 for s in sent)
 
@@ -179,34 +179,43 @@
 
 @test("two operators at once, an old version and an invalid one: the highest valid one stands everywhere")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        assert all(await asyncio.gather(day.operator.send(9), day.operator.send(12), day.operator.send(5)))
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        assert all(
+            await asyncio.gather(
+                scenario.operator.send(9), scenario.operator.send(12), scenario.operator.send(5)
+            )
+        )
         bad = world.configuration(20)
         bad["services"] = []
-        assert await day.operator.send_raw(json.dumps(bad).encode()) == 400
+        assert await scenario.operator.send_raw(json.dumps(bad).encode()) == 400
         await asyncio.sleep(1.0)
-        assert {n.hut.cairn.revision for n in world.nodes.values() if n.hut is not None} == {12}
-        assert await day.operator.read_back() == 12
+        assert {n.program.config_store.revision for n in world.nodes.values() if n.program is not None} == {
+            12
+        }
+        assert await scenario.operator.read_back() == 12
 
     assert not play(Plan(9), scene)[1]
 
 
 @test("a version that one disk alone has is not in force, and is in force once a second has it")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for other in ("s1", "s2"):
             world.cut("s0", other, 3.0)
         body = json.dumps(world.configuration(9)).encode()
         answer = await ask(
             (world.nodes["s0"].host, CONTROL), "POST", "/api/configuration/replace", body, {"Host": "c"}, 2.0
         )
-        assert answer.status == 503 and world.nodes["s0"].hut.cairn.revision == 3  # type: ignore[union-attr]
+        assert answer.status == 503 and world.nodes["s0"].program.config_store.revision == 3  # type: ignore[union-attr]
         await until(
-            lambda: all(n.hut.cairn.revision == 9 for n in world.nodes.values() if n.hut is not None), 10.0
+            lambda: all(
+                n.program.config_store.revision == 9 for n in world.nodes.values() if n.program is not None
+            ),
+            10.0,
         )
 
     assert not play(Plan(10), scene)[1]
@@ -214,15 +223,15 @@
 
 @test("a target that says that it leaves is left by all stores well inside the time for it")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         target = next(iter(world.targets.values()))
         target.state = "draining"
         assert await target.beat()
         for node in world.nodes.values():
-            if node.hut is not None and node.hut.targets is not None:
-                assert node.hut.targets.known[target.id].state == 1
+            if node.program is not None and node.program.targets is not None:
+                assert node.program.targets.known[target.id].state == 1
 
     assert not play(Plan(11), scene)[1]
 
@@ -230,14 +239,14 @@
 @test("targets that crash and whose addresses go to another service get nothing of the wrong one")
 def _() -> None:
     faults = [Fault(0.5 + n, "target reuse") for n in range(3)]
-    world, breaches = day(*faults, targets=8, seconds=8.0)
+    world, breaches = scenario(*faults, targets=8, seconds=8.0)
     assert not breaches, str(breaches[:3])
     kept(world)
 
 
 @test("answers that are lost end in no loss; a message that can't be done ends as dead")
 def _() -> None:
-    world, breaches = day(Fault(1.0, "lose answers", "", 3.0), poison=0.1)
+    world, breaches = scenario(Fault(1.0, "lose answers", "", 3.0), poison=0.1)
     assert not breaches, str(breaches[:3])
     states = {state for state, _ in world.history.states.values()}
     assert states == {"completed", "dead_letter"}
@@ -245,7 +254,7 @@
 
 @test("a limit of all together holds in every window while much more is wanted")
 def _() -> None:
-    world, breaches = day(
+    world, breaches = scenario(
         Fault(2.0, "kill", "s0", 1.0), Fault(4.0, "term", "s1"), rate=4.0, per_s=60.0, seconds=10.0
     )
     assert not breaches, str(breaches[:3])
@@ -254,12 +263,12 @@
 
 @test("a delay is kept through the death of the holder, by a clock that differs")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for node in world.nodes.values():
             node.skew = 0.05 * (1 if node.name == "s0" else -1)
-        sent = [await hand_in(day, f"f{n % 3}", delay_ms=4000) for n in range(9)]
+        sent = [await hand_in(scenario, f"f{n % 3}", delay_ms=4000) for n in range(9)]
         for node in world.nodes.values():
             node.power_off(0.5)
         await asyncio.sleep(7.0)
@@ -272,9 +281,9 @@
 
 @test("rubbish on the port between processes and at the front costs its sender its connection alone")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         rubbish = (
             b"\xff" * 64,
             b"\x00\x00\x00\x05hello",
@@ -298,7 +307,7 @@
         assert (
             await ask(control, "POST", "/api/instances/i/heartbeat", b'{"sequence":"x"}', {"Host": "c"}, 2.0)
         ).status == 400
-        assert (await hand_in(day)).answer == 202
+        assert (await hand_in(scenario)).answer == 202
         assert world.nodes["s0"].lives == 1
 
     assert not play(Plan(13), scene)[1]
@@ -306,16 +315,16 @@
 
 @test("a process finds all stores from one seed that is up, and again after its links broke")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for name in ("s0", "s1"):
             world.nodes[name].power_off(3.0)
         world.nodes["f0"].kill(0.5)
         await asyncio.sleep(1.5)
-        front = world.nodes["f0"].hut
-        assert front is not None and len(front.party.stores()) == 3
-        assert sum(p.state is PeerState.UP for p in front.party.stores().values()) == 1 and front.lacks()
+        front = world.nodes["f0"].program
+        assert front is not None and len(front.membership.stores()) == 3
+        assert sum(p.state is PeerState.UP for p in front.membership.stores().values()) == 1 and front.lacks()
         await until(lambda: not front.lacks(), 8.0)
 
     assert not play(Plan(14), scene)[1]
@@ -323,17 +332,17 @@
 
 @test("a message whose route a configuration drops ends; one whose route this store does not know yet waits")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = await hand_in(day, delay_ms=2500)
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = await hand_in(scenario, delay_ms=2500)
         world.places.pop(0)
-        assert await day.operator.send(8)
+        assert await scenario.operator.send(8)
         await asyncio.sleep(4.0)
         told = [
-            n.hut.keeper.state_of(sent.id)
+            n.program.replicator.state_of(sent.id)
             for n in world.nodes.values()
-            if n.hut is not None and n.hut.keeper is not None
+            if n.program is not None and n.program.replicator is not None
         ]
         assert ["dead_letter", ""] in told and sent.id not in world.history.runs
 
@@ -342,15 +351,15 @@
 
 @test("a message crosses the border only for its second copy while the near targets have room")
 def _() -> None:
-    world, breaches = day(per_s=12.0, targets=6)
+    world, breaches = scenario(per_s=12.0, targets=6)
     assert not breaches
-    stores = {name: node for name, node in world.nodes.items() if node.store and node.hut is not None}
+    stores = {name: node for name, node in world.nodes.items() if node.store and node.program is not None}
     crossed = 0
     for id, runs in world.history.runs.items():
         holder = next(
-            n.hut.keeper.stock.shelf.records[id].holder
+            n.program.replicator.local_store.index.records[id].holder
             for n in stores.values()
-            if id in n.hut.keeper.stock.shelf.records
+            if id in n.program.replicator.local_store.index.records
         )  # type: ignore[union-attr]
         crossed += world.targets[runs[-1].target].zone != stores[holder].zone
     assert len(world.history.runs) > 50 and crossed == 0
@@ -360,16 +369,18 @@
     "three copies know of each other from their writing on: nothing differs that a comparison would have to mend"
 )
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
         for _ in range(30):
-            assert (await hand_in(day)).answer == 202
+            assert (await hand_in(scenario)).answer == 202
         await asyncio.sleep(2.0)
-        shelves = {n.name: n.hut.keeper.stock.shelf for n in day.world.nodes.values() if n.store}
-        assert sum(len(shelf.records) for shelf in shelves.values()) == 90
-        for name, shelf in shelves.items():
-            for other, theirs in shelves.items():
-                assert other == name or not shelf.differ(other, theirs.digests(name)), f"{name} and {other}"
+        indexes = {
+            n.name: n.program.replicator.local_store.index for n in scenario.world.nodes.values() if n.store
+        }
+        assert sum(len(index.records) for index in indexes.values()) == 90
+        for name, index in indexes.items():
+            for other, theirs in indexes.items():
+                assert other == name or not index.differ(other, theirs.digests(name)), f"{name} and {other}"
 
     async def nothing(self: Repair, peer: object) -> None:
         pass
--- a/tests/huts/test_copy.py
+++ b/tests/cluster/test_copy.py
@@ -9,11 +9,11 @@
 
 from ward import fixture, test
 
-from huts.guide import copying
-from huts.weather import Plan
-from huts.weather.history import Sent
-from huts.weather.play import Day
-from tests.huts.support import hand_in, play, until
+from emberlatch.cluster.cli import copying
+from emberlatch.simulation import Plan
+from emberlatch.simulation.history import Sent
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import hand_in, play, until
 
 NODES = ["s0", "s1", "s2"]
 
@@ -27,7 +27,7 @@
 def copied(folder: Path, sent: list[Sent], lacking: str = "") -> Path:
     """A copy of a system that has delivered ten messages and holds twenty that wait."""
 
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         for n in range(30):
             sent.append(await hand_in(scene, delay_ms=0 if n < 10 else 20_000, body=b"m%d" % n))
@@ -48,7 +48,7 @@
     sent: list[Sent] = []
     copy = copied(folder, sent, lacking="s1")
 
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         world = scene.world
         world.first = False
         world.history.sent = {one.id: one for one in sent}
@@ -57,7 +57,7 @@
         for node in world.nodes.values():
             node.start()
         await world.add_target("ledger", "z0")
-        await until(lambda: all(n.hut.cairn.revision == 3 for n in world.nodes.values()))
+        await until(lambda: all(n.program.config_store.revision == 3 for n in world.nodes.values()))
         await until(lambda: len(world.history.runs) == 20, 40.0)
         await asyncio.sleep(3.0)
         runs = world.history.runs
--- a/tests/huts/test_exhaustive.py
+++ b/tests/cluster/test_exhaustive.py
@@ -7,10 +7,10 @@
 
 from ward import test
 
-from huts.cairn import Cairn
-from huts.refuge import Record, State
-from tests.huts import support, versions
-from tests.huts.orders import explore
+from emberlatch.cluster.config_store import ConfigStore
+from emberlatch.cluster.message_store import Record, State
+from tests.cluster import support, versions
+from tests.cluster.orders import explore
 
 
 @test("no order of steps over three stores breaks a rule, up to fourteen of them")
@@ -61,20 +61,20 @@
 
 @test("a version in force on one disk, and a disk that takes an older version, are caught")
 def _() -> None:
-    def hasty(self: Cairn) -> None:
+    def hasty(self: ConfigStore) -> None:
         if self.held is not None and self._held > self._force:
             self.force, self._force = self.held, self._held
 
-    async def latest(self: Cairn, raw: bytes, ours: bool = False) -> None:
+    async def latest(self: ConfigStore, raw: bytes, ours: bool = False) -> None:
         self.held, self._held = versions.parsed(raw), versions.rank(raw)
         self._have[self._me] = self._held
         assert self._files is not None
         self._files.write(self._held[0], raw)
         self._settle()
 
-    def forgetful(self: Cairn) -> None:
+    def forgetful(self: ConfigStore) -> None:
         self.force, self._force = self.held, self._held
 
     for name, bug in (("_settle", hasty), ("keep", latest), ("_settle", forgetful)):
-        with support.planted(Cairn, name, bug):
+        with support.planted(ConfigStore, name, bug):
             assert versions.explore(6)[1], bug.__name__
--- a/tests/huts/test_images.py
+++ b/tests/cluster/test_images.py
@@ -11,22 +11,22 @@
 
 from ward import test
 
-from huts.cairn import WordFiles
-from huts.refuge import Ledger, State
-from tests.huts.support import record
+from emberlatch.cluster.config_store import ConfigFiles
+from emberlatch.cluster.message_store import RecordDatabase, State
+from tests.cluster.support import record
 
 
 async def at_once(work: Callable[[], None]) -> None:
     work()
 
 
-def opened(folder: Path) -> Ledger:
-    return Ledger(folder / "records.db", at_once, lambda: 1.7e9, lambda error: None)
+def opened(folder: Path) -> RecordDatabase:
+    return RecordDatabase(folder / "records.db", at_once, lambda: 1.7e9, lambda error: None)
 
 
-async def committed(ledger: Ledger) -> None:
+async def committed(database: RecordDatabase) -> None:
     done = asyncio.Event()
-    ledger.stands(done.set)
+    database.stands(done.set)
     await done.wait()
 
 
@@ -61,18 +61,18 @@
         folder.mkdir()
 
         async def scene() -> None:
-            ledger = opened(folder)
+            database = opened(folder)
             for n in range(14):
                 shutil.rmtree(before, ignore_errors=True)
                 shutil.copytree(folder, before)
                 made = record(f"m{n}")
                 made.body = chance.randbytes(chance.randrange(1, 9000))
-                ledger.put(made, 0.0)
+                database.put(made, 0.0)
                 if n % 3 == 2:
                     ended = record(f"m{n - 2}")
                     ended.merge(State.DONE, "seal", 1, "a", 0)
-                    ledger.mark(ended, 0.0)
-                await committed(ledger)
+                    database.mark(ended, 0.0)
+                await committed(database)
                 for _ in range(4):
                     images(before, folder, image, chance)
                     there = {r.id: r for r in opened(image).load(0.0)}
@@ -80,7 +80,7 @@
                     for k in range(2, n, 3):
                         assert there[f"m{k - 2}"].state is State.DONE
                     assert all(r.body for r in there.values() if r.open)
-            ledger.close()
+            database.close()
 
         asyncio.run(scene())
 
@@ -90,7 +90,7 @@
     chance = random.Random(6)
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        files = WordFiles(folder)
+        files = ConfigFiles(folder)
         files.write(7, b"seven" * 300)
         for _ in range(60):
             files.write(8, b"eight" * 300)
@@ -106,7 +106,7 @@
                     path.write_bytes(whole[:cut] + bytes(len(whole) - cut))
                 case _:
                     path.unlink()
-            assert WordFiles(folder).newest() in (b"seven" * 300, b"eight" * 300)
+            assert ConfigFiles(folder).newest() in (b"seven" * 300, b"eight" * 300)
             for left in folder.glob("word-*8-*"):
                 left.unlink()
 
@@ -121,13 +121,13 @@
 
         offload: Callable[[Callable[[], None]], Awaitable[None]] = broken
         with tempfile.TemporaryDirectory() as name:
-            ledger = Ledger(Path(name) / "records.db", offload, lambda: 1.7e9, failed.append)
+            database = RecordDatabase(Path(name) / "records.db", offload, lambda: 1.7e9, failed.append)
             done: list[int] = []
-            ledger.put(record(), 0.0)
-            ledger.stands(lambda: done.append(1))
+            database.put(record(), 0.0)
+            database.stands(lambda: done.append(1))
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            ledger.stands(lambda: done.append(2))
+            database.stands(lambda: done.append(2))
             await asyncio.sleep(0)
             assert len(failed) == 1 and not done
 
--- a/tests/huts/test_members.py
+++ b/tests/cluster/test_members.py
@@ -6,50 +6,54 @@
 
 from ward import test
 
-from huts.party import Party
-from huts.register import Member, Roster
-from huts.weather.growth import measure
-from huts.weather.play import Day
-from tests.huts.support import Plan, planted, play, until
+from emberlatch.cluster.membership import Member, Roster
+from emberlatch.cluster.membership.view import MembershipView
+from emberlatch.simulation.growth import measure
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import Plan, planted, play, until
 
 ME = Member("a", "10.0.0.1", 7300, "z0", "r", True, True, "", 5)
 
 
-def lists(scene: Day) -> set[int]:
-    return {n.hut.party.roster.digest() for n in scene.world.nodes.values() if n.up and n.hut is not None}
+def lists(scene: Scenario) -> set[int]:
+    return {
+        n.program.membership.roster.digest()
+        for n in scene.world.nodes.values()
+        if n.up and n.program is not None
+    }
 
 
 @test("nine stores and twelve forwarders that know three seeds all find each other")
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         for node in scene.world.nodes.values():
-            assert node.hut is not None
-            assert len(node.hut.party.stores()) == 9 - node.store, node.name
-            assert node.hut.cairn.revision == scene.revision, node.name
+            assert node.program is not None
+            assert len(node.program.membership.stores()) == 9 - node.store, node.name
+            assert node.program.config_store.revision == scene.revision, node.name
 
     play(Plan(3, fronts=12, stores=9), scene)
 
 
 @test("a store that is added is known to every forwarder a second later, though nobody tells it twice")
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         scene.world.add_store("late", "z1")
-        forwarders = [n.hut for n in scene.world.nodes.values() if not n.store and n.hut is not None]
-        await until(lambda: all("late" in hut.party.stores() for hut in forwarders), 1.5)
+        forwarders = [n.program for n in scene.world.nodes.values() if not n.store and n.program is not None]
+        await until(lambda: all("late" in program.membership.stores() for program in forwarders), 1.5)
 
     play(Plan(4, fronts=9, stores=6), scene)
 
 
 @test("news of a store that got lost on their way are asked for, since lists of stores are compared")
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         scene.world.add_store("late", "z1")
         await until(lambda: len(lists(scene)) == 1, 6.0)
 
-    with planted(Party, "_tell_members", lambda self: None):
+    with planted(MembershipView, "_tell_members", lambda self: None):
         play(Plan(5, fronts=6, stores=6), scene)
 
 
