--- a/tests/huts/test_planted.py
+++ b/tests/cluster/test_planted.py
@@ -8,70 +8,70 @@
 
 from ward import test
 
-from huts.cairn import Cairn
-from huts.descent import Descent
-from huts.descent.descent import Stage
-from huts.hut import Hut
-from huts.lookout import Targets
-from huts.party import Party
-from huts.refuge import Keeper, Record, State
-from huts.refuge.repair import Repair
-from huts.trailhead import front
-from huts.trailhead.desk import Settler
-from huts.weather.play import Day
-from tests.huts.support import Fault, Plan, day, hand_in, planted, play
+from emberlatch.cluster.config_store import ConfigStore
+from emberlatch.cluster.control_api.api import LocalHandler
+from emberlatch.cluster.discovery import Targets
+from emberlatch.cluster.dispatch import Dispatcher
+from emberlatch.cluster.dispatch.dispatcher import Stage
+from emberlatch.cluster.ingress import front
+from emberlatch.cluster.membership.view import MembershipView
+from emberlatch.cluster.message_store import Record, Replicator, State
+from emberlatch.cluster.message_store.repair import Repair
+from emberlatch.cluster.node import Node
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import Fault, Plan, hand_in, planted, play, scenario
 
 
 def rules(*faults: Fault, **more: Any) -> set[str]:
-    return {breach.rule for breach in day(*faults, **more)[1]}
+    return {breach.rule for breach in scenario(*faults, **more)[1]}
 
 
 @test("202 after one disk")
 def _() -> None:
     with (
-        planted(Keeper, "_partner", lambda self, but: None),
-        planted(Party, "enough", lambda self, nodes: bool(nodes)),
+        planted(Replicator, "_partner", lambda self, but: None),
+        planted(MembershipView, "enough", lambda self, nodes: bool(nodes)),
     ):
         assert "LOST" in rules(Fault(3.0, "wipe", "s0", 1.0))
 
 
 @test("a promise after an unclear write")
 def _() -> None:
-    async def void(self: Keeper, record: Record, asked: set[str], epoch: int) -> bool:
+    async def void(self: Replicator, record: Record, asked: set[str], epoch: int) -> bool:
         return True
 
-    with planted(Keeper, "_void", void), planted(front, "STORE", 0.45):
+    with planted(Replicator, "_void", void), planted(front, "STORE", 0.45):
 
-        async def scene(day: Day) -> None:
-            await day.start()
+        async def scene(scenario: Scenario) -> None:
+            await scenario.start()
             for name in ("s1", "s2"):
-                day.world.cut("f0", name, 30.0)
+                scenario.world.cut("f0", name, 30.0)
             await asyncio.sleep(3.0)
             for name in ("s1", "s2"):
-                day.world.nodes[name].power_off(8.0)
+                scenario.world.nodes[name].power_off(8.0)
             for _ in range(6):
-                await hand_in(day, "f0")
+                await hand_in(scenario, "f0")
             await asyncio.sleep(15.0)
-            day.world.nodes["s0"].kill()
+            scenario.world.nodes["s0"].kill()
             await asyncio.sleep(15.0)
-            day.world.history.judge(4, 60.0, day.world.loop.time())
+            scenario.world.history.judge(4, 60.0, scenario.world.loop.time())
 
         assert "REFUSED" in {b.rule for b in play(Plan(2), scene)[1]}
 
 
 @test("a message handed over while a call of it is out")
 def _() -> None:
-    async def close(self: Descent, hand_over: Any, until: float) -> None:
+    async def close(self: Dispatcher, hand_over: Any, until: float) -> None:
         self.closing = True
         loads = list(self._loads.values())
         for load in loads:
             load.stage = Stage.READY
         await hand_over([load.record for load in loads])
 
-    with planted(Descent, "close", close):
+    with planted(Dispatcher, "close", close):
         found = set[str]()
         for seed in range(6):
-            world, breaches = day(
+            world, breaches = scenario(
                 *(Fault(0.5 + 2.5 * n, "term", f"s{n}") for n in range(3)), seed=seed, seconds=8.0
             )
             found |= {b.rule for b in breaches}
@@ -82,20 +82,20 @@
 
 @test("an older configuration taken")
 def _() -> None:
-    def hold(self: Cairn, config: Any) -> None:
+    def hold(self: ConfigStore, config: Any) -> None:
         self.held = self.force = config
         self._have[self._me] = config.revision, ""
 
-    with planted(Cairn, "_hold", hold), planted(Cairn, "newest", property(lambda self: -1)):
+    with planted(ConfigStore, "_hold", hold), planted(ConfigStore, "newest", property(lambda self: -1)):
         found = set[str]()
         for seed in range(4):
 
-            async def scene(day: Day) -> None:
-                await day.start()
-                await day.operator.send(12)
-                await day.operator.send(5)
-                day.world.history.read_back = await day.operator.read_back()
-                day.world.history.judge(4, 60.0, day.world.loop.time())
+            async def scene(scenario: Scenario) -> None:
+                await scenario.start()
+                await scenario.operator.send(12)
+                await scenario.operator.send(5)
+                scenario.world.history.read_back = await scenario.operator.read_back()
+                scenario.world.history.judge(4, 60.0, scenario.world.loop.time())
 
             found |= {b.rule for b in play(Plan(seed), scene)[1]}
         assert "CONFIG" in found
@@ -120,7 +120,7 @@
 
 @test("a whole limit for each")
 def _() -> None:
-    with planted(Hut, "_parts", lambda self, service: 1.0):
+    with planted(Node, "_parts", lambda self, service: 1.0):
         assert "CEILING" in rules(rate=4.0, per_s=60.0, seconds=10.0)
 
 
@@ -133,16 +133,16 @@
         found = set[str]()
         for seed in range(4):
 
-            async def scene(day: Day) -> None:
-                await day.start()
+            async def scene(scenario: Scenario) -> None:
+                await scenario.start()
                 for n in range(20):
-                    await hand_in(day, f"f{n % 3}", delay_ms=40_000)
-                day.world.nodes["s0"].power_off(0.5, wipe=True)
+                    await hand_in(scenario, f"f{n % 3}", delay_ms=40_000)
+                scenario.world.nodes["s0"].power_off(0.5, wipe=True)
                 await asyncio.sleep(12.0)
-                day.world.nodes["s1"].power_off(0.5, wipe=True)
+                scenario.world.nodes["s1"].power_off(0.5, wipe=True)
                 await asyncio.sleep(12.0)
-                await day._end()
-                day.world.history.judge(4, 60.0, day.world.loop.time())
+                await scenario._end()
+                scenario.world.history.judge(4, 60.0, scenario.world.loop.time())
 
             found |= {b.rule for b in play(Plan(seed), scene)[1]}
         assert "LOST" in found
@@ -166,40 +166,40 @@
 
 @test("a dead letter before its attempts are used up")
 def _() -> None:
-    sound = Descent._outcome
+    sound = Dispatcher._outcome
 
-    def outcome(self: Descent, told: Any) -> None:
+    def outcome(self: Dispatcher, told: Any) -> None:
         load = self._refs.get(told.ref)
         if load is not None and load.verdict is not None and load.verdict.value == "failed":
             load.record.attempts += 3
         sound(self, told)
 
-    with planted(Descent, "_outcome", outcome):
+    with planted(Dispatcher, "_outcome", outcome):
         assert "MIXED" in rules(poison=0.1)
 
 
 @test("a second run after a success that was read")
 def _() -> None:
-    sound = Descent._end
+    sound = Dispatcher._end
 
-    def end(self: Descent, load: Any, state: State, seal: str) -> None:
+    def end(self: Dispatcher, load: Any, state: State, seal: str) -> None:
         if state is State.DONE and self.random_drop():
             return self._again(load, 0.2)
         sound(self, load, state, seal)
 
     count = iter(range(10_000_000))
-    with planted(Descent, "_end", end):
-        Descent.random_drop = lambda self: next(count) % 10 == 0  # type: ignore[attr-defined]
+    with planted(Dispatcher, "_end", end):
+        Dispatcher.random_drop = lambda self: next(count) % 10 == 0  # type: ignore[attr-defined]
         assert "TWICE" in rules()
-        del Descent.random_drop  # type: ignore[attr-defined]
+        del Dispatcher.random_drop  # type: ignore[attr-defined]
 
 
 @test("an acknowledgement of a leaving target that nobody else hears of")
 def _() -> None:
-    async def tell(self: Settler, target: Any, news: bool) -> None:
+    async def tell(self: LocalHandler, target: Any, news: bool) -> None:
         pass
 
-    with planted(Settler, "_tell", tell):
+    with planted(LocalHandler, "_tell", tell):
         found = set[str]()
         for seed in range(3):
             faults = [Fault(0.5 + n, "target leave") for n in range(3)]
@@ -209,12 +209,12 @@
 
 @test("deliveries that do not name the instance they expect, to addresses that others use again")
 def _() -> None:
-    sound = Descent._parcel
+    sound = Dispatcher._parcel
 
-    def parcel(self: Descent, ref: int, target: bytes) -> Any:
+    def parcel(self: Dispatcher, ref: int, target: bytes) -> Any:
         return replace(sound(self, ref, target), instance="")
 
-    with planted(Descent, "_parcel", parcel), planted(Targets, "_arrive", _arrive_beside):
+    with planted(Dispatcher, "_parcel", parcel), planted(Targets, "_arrive", _arrive_beside):
         found = set[str]()
         for seed in range(3):
             faults = [Fault(0.5 + n, "target reuse") for n in range(4)]
@@ -231,30 +231,30 @@
 
 @test("a forwarder that goes back to an older version within its life")
 def _() -> None:
-    holds, keeps = Cairn._hold, Cairn.keep
+    holds, keeps = ConfigStore._hold, ConfigStore.keep
 
-    def latest(self: Cairn, config: Any) -> None:
+    def latest(self: ConfigStore, config: Any) -> None:
         if self._files is not None:
             return holds(self, config)
         self.held = self.force = config
         self.in_force(config)
 
-    async def scene(day: Day) -> None:
-        await day.start()
-        assert await day.operator.send(9)
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        assert await scenario.operator.send(9)
         await asyncio.sleep(1.0)
-        cairn = day.world.nodes["f0"].hut.cairn  # type: ignore[union-attr]
-        assert cairn.revision == 9
-        await cairn.keep(day.world.text(3, 800), ours=True)
-        if cairn.revision != 9:
-            day.world.history.breach("CONFIG", day.world.loop.time(), "it went back")
+        config_store = scenario.world.nodes["f0"].program.config_store  # type: ignore[union-attr]
+        assert config_store.revision == 9
+        await config_store.keep(scenario.world.text(3, 800), ours=True)
+        if config_store.revision != 9:
+            scenario.world.history.breach("CONFIG", scenario.world.loop.time(), "it went back")
 
     assert not play(Plan(3), scene)[1]
 
-    async def keep(self: Cairn, raw: bytes, ours: bool = False) -> Any:
+    async def keep(self: ConfigStore, raw: bytes, ours: bool = False) -> Any:
         if self._files is None:
             self._held = (-1, "")
         return await keeps(self, raw, ours)
 
-    with planted(Cairn, "_hold", latest), planted(Cairn, "keep", keep):
+    with planted(ConfigStore, "_hold", latest), planted(ConfigStore, "keep", keep):
         assert {b.rule for b in play(Plan(3), scene)[1]} >= {"CONFIG"}
--- a/tests/huts/test_pure.py
+++ b/tests/cluster/test_pure.py
@@ -12,15 +12,15 @@
 from expression import Result
 from ward import test
 
+from emberlatch.cluster.config_store import ConfigFiles
+from emberlatch.cluster.discovery import BadBeat, Target, Targets, TargetState
+from emberlatch.cluster.dispatch import Dispatcher
+from emberlatch.cluster.dispatch.carrier import Verdict, _verdict
+from emberlatch.cluster.message_store import Record, RecordIndex, State
+from emberlatch.cluster.rate_limits import RateShare
+from emberlatch.cluster.settings import SettingsError, read_configuration, read_settings
 from emberlatch.engine import Tasks
-from huts.cairn import WordFiles
-from huts.descent import Descent
-from huts.descent.carrier import Verdict, _verdict
-from huts.lookout import BadBeat, Target, Targets, TargetState
-from huts.rations import Ration
-from huts.refuge import Record, Shelf, State
-from huts.waymark import SettingsError, read_boot, read_configuration
-from tests.huts.support import record
+from tests.cluster.support import record
 
 WORDS = [
     (State.QUEUED, "", 1, "a", 0),
@@ -53,21 +53,21 @@
     assert merged((WORDS[2], WORDS[1]))[0] is State.QUEUED
 
 
-@test("digests of two shelves are alike if and only if what they share is")
+@test("digests of two indexes are alike if and only if what they share is")
 def _() -> None:
     chance = random.Random(3)
-    ours, theirs = Shelf("a"), Shelf("b")
+    ours, theirs = RecordIndex("a"), RecordIndex("b")
     for n in range(500):
-        for shelf in (ours, theirs):
+        for index in (ours, theirs):
             if chance.random() < 0.97:
-                shelf.put(record(f"m{n}"))
-    for shelf in (ours, theirs):
-        for one in list(shelf.records.values()):
+                index.put(record(f"m{n}"))
+    for index in (ours, theirs):
+        for one in list(index.records.values()):
             if chance.random() < 0.05:
                 one.merge(State.DONE, "s", 1, "a", 0)
-                shelf.changed(one)
+                index.changed(one)
             elif chance.random() < 0.02:
-                shelf.drop(one)
+                index.drop(one)
     ranges = ours.differ("b", theirs.digests("a"))
     want, give = ours.compare("b", ranges, theirs.summary("a", ranges))
     ids = {*ours.records, *theirs.records}
@@ -210,7 +210,7 @@
         good = 'node = "a"\nip = "10.0.0.1"\nzone = "z"\nserves = ["front"]\nport_range = [1,2]\nseeds = []\n'
         listen = '[listen]\nfront = "10.0.0.1:80"\nready = "10.0.0.1:81"\n'
         path.write_text(good + "unheard_of = 3\n" + listen)
-        assert read_boot(path).inner_port == 1
+        assert read_settings(path).inner_port == 1
         for text, line, word in (
             (good.replace("[1,2]", '"x"') + listen, 5, "port_range"),
             (good.replace('"z"', "7") + listen, 3, "zone"),
@@ -220,7 +220,7 @@
         ):
             path.write_text(text)
             try:
-                read_boot(path)
+                read_settings(path)
                 raise AssertionError(text)
             except SettingsError as error:
                 assert f"{path}:{line}:" in str(error) and word in str(error), error
@@ -232,13 +232,13 @@
     for rate in (2.0, 6.0, 19.5, 200.0):
         sent, now = list[float](), 0.0
         for part in range(3):
-            now, ration = 0.0, Ration(5.0, 1.1, 0.0)
+            now, rate_share = 0.0, RateShare(5.0, 1.1, 0.0)
             for _ in range(int(rate * 40)):
                 now += chance.expovariate(rate)
                 if chance.random() < 0.01:
-                    ration = Ration(5.0, 1.1, now) if part == 1 else ration
-                if ration.room_at(now, rate, 3) <= now:
-                    ration.count()
+                    rate_share = RateShare(5.0, 1.1, now) if part == 1 else rate_share
+                if rate_share.room_at(now, rate, 3) <= now:
+                    rate_share.count()
                     sent.append(now)
         sent.sort()
         most = max(sum(a <= b < a + 5.0 for b in sent[n : n + 1200]) for n, a in enumerate(sent))
@@ -249,12 +249,12 @@
 @test("a damaged version is passed over, and a version outlasts those after it that are torn")
 def _() -> None:
     with tempfile.TemporaryDirectory() as folder:
-        files = WordFiles(Path(folder))
+        files = ConfigFiles(Path(folder))
         for revision in (3, 5, 8):
             files.write(revision, json.dumps(configuration(revision=revision)).encode())
         newest = max(Path(folder).iterdir())
         newest.write_bytes(newest.read_bytes()[:30])
-        raw = WordFiles(Path(folder)).newest()
+        raw = ConfigFiles(Path(folder)).newest()
         assert raw is not None and json.loads(raw)["revision"] == 5
 
 
@@ -281,7 +281,7 @@
 @test("a wake-up that is due already is one on every loop")
 def _() -> None:
     async def scene() -> None:
-        descent = Descent(
+        dispatcher = Dispatcher(
             "z",
             Tasks(),
             1,
@@ -295,10 +295,10 @@
         )
         now = asyncio.get_running_loop().time()
         for at in (now - 1, now - 2, now + 5, now):
-            descent._wake_at(at)
+            dispatcher._wake_at(at)
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        assert descent._wakes_at == math.inf
+        assert dispatcher._wakes_at == math.inf
 
     for make in (asyncio.new_event_loop, uvloop.new_event_loop):
         loop = make()
--- a/tests/huts/test_state.py
+++ b/tests/cluster/test_state.py
@@ -5,74 +5,74 @@
 
 from ward import each, test
 
-from huts.descent.carrier import Carrier
-from huts.refuge import Phase, State
-from huts.rope import peer
-from huts.weather.actors import Clients, ask
-from huts.weather.mending import measure
-from huts.weather.mountain import CONTROL
-from huts.weather.play import Day
-from tests.huts.support import Fault, Plan, day, hand_in, kept, on_disk, planted, play, until
+from emberlatch.cluster.dispatch.carrier import Carrier
+from emberlatch.cluster.message_store import Phase, State
+from emberlatch.cluster.rpc import peer
+from emberlatch.simulation.actors import Clients, ask
+from emberlatch.simulation.cluster import CONTROL
+from emberlatch.simulation.mending import measure
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import Fault, Plan, hand_in, kept, on_disk, planted, play, scenario, until
 
 
-def ran(scene: Day, id: str) -> int:
+def ran(scene: Scenario, id: str) -> int:
     """How often a message succeeded."""
     return len([r for r in scene.world.history.runs.get(id, []) if r.status == 200])
 
 
 @test("a holder that froze and wakes sends nothing that others have taken over")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = [await hand_in(day, "f0", delay_ms=1500) for _ in range(8)]
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = [await hand_in(scenario, "f0", delay_ms=1500) for _ in range(8)]
         process = world.nodes["s0"].process
         process.stop()
         await asyncio.sleep(4.5)
-        assert all(ran(day, s.id) == 1 for s in sent)
+        assert all(ran(scenario, s.id) == 1 for s in sent)
         process.go_on(world.loop)
         await asyncio.sleep(3.0)
-        assert all(ran(day, s.id) == 1 for s in sent)
-        assert world.nodes["s0"].hut.keeper.holding.in_touch()
+        assert all(ran(scenario, s.id) == 1 for s in sent)
+        assert world.nodes["s0"].program.replicator.ownership.in_touch()
 
     assert not play(Plan(21), scene)[1]
 
 
 @test("a store that is replaced by an empty one elsewhere: two copies again, and the old one counts no more")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        sent = [await hand_in(day, f"f{n % 3}", delay_ms=40_000) for n in range(24)]
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        sent = [await hand_in(scenario, f"f{n % 3}", delay_ms=40_000) for n in range(24)]
         world.nodes["s0"].power_off(1000.0)
         await asyncio.sleep(1.2)
         world.add_store("s9", "z0")
         await asyncio.sleep(4.5)
         for one in sent:
             assert len([n for n in on_disk(world, one.id) if n != "s0"]) >= 2
-        await until(lambda: "s0" not in world.nodes["s1"].hut.party.current(), 8.0)
+        await until(lambda: "s0" not in world.nodes["s1"].program.membership.current(), 8.0)
         world.nodes["s1"].power_off(1.0)
         await asyncio.sleep(0.5)
-        assert world.nodes["s2"].hut.keeper.holding.in_touch()
-        assert (await hand_in(day, "f1")).answer in (202, 504)
+        assert world.nodes["s2"].program.replicator.ownership.in_touch()
+        assert (await hand_in(scenario, "f1")).answer in (202, 504)
         await asyncio.sleep(2.0)
-        assert (await hand_in(day, "f1")).answer == 202
-        assert await day.operator.read_back() == 3
+        assert (await hand_in(scenario, "f1")).answer == 202
+        assert await scenario.operator.read_back() == 3
 
     assert not play(Plan(22), scene)[1]
 
 
 @test("a store that is cut off from the others takes nothing, and a forwarder goes on to the next at once")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for other in ("s1", "s2"):
             world.cut("s0", other, 8.0)
-        answers = [(await hand_in(day, f"f{n % 3}")).answer for n in range(30)]
+        answers = [(await hand_in(scenario, f"f{n % 3}")).answer for n in range(30)]
         assert answers.count(202) == 30, str(answers)
         await asyncio.sleep(14.0)
-        assert all(ran(day, id) == 1 for id in world.history.sent)
+        assert all(ran(scenario, id) == 1 for id in world.history.sent)
 
     assert not play(Plan(23), scene)[1]
 
@@ -81,20 +81,20 @@
     "who was cut off gives up no target for the others, and takes nothing over from those that it did not hear"
 )
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for other in ("s1", "s2"):
             world.cut("s0", other, 7.0)
         await asyncio.sleep(6.5)
-        sent = [await hand_in(day, f"f{n % 3}", delay_ms=2500) for n in range(12)]
+        sent = [await hand_in(scenario, f"f{n % 3}", delay_ms=2500) for n in range(12)]
         await asyncio.sleep(1.0)
         for node in ("s0", "s1", "s2"):
-            hut = world.nodes[node].hut
-            assert all(t.live for t in hut.targets.known.values()), node
+            program = world.nodes[node].program
+            assert all(t.live for t in program.targets.known.values()), node
         await asyncio.sleep(5.0)
-        assert all(ran(day, s.id) == 1 for s in sent)
-        holders = {world.nodes["s1"].hut.keeper.stock.shelf.records[s.id].epoch for s in sent}
+        assert all(ran(scenario, s.id) == 1 for s in sent)
+        holders = {world.nodes["s1"].program.replicator.local_store.index.records[s.id].epoch for s in sent}
         assert holders == {1}, str(holders)
 
     assert not play(Plan(31), scene)[1]
@@ -104,34 +104,34 @@
     "a message whose first store answers too late is delivered once: {after} ms after it was sent its link stops"
 )
 def _(after: float = each(0.5, 1.0, 2.0, 3.0, 5.0, 20.0, 60.0)) -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for _ in range(6):
-            coming = asyncio.get_running_loop().create_task(hand_in(day, "f0"))
+            coming = asyncio.get_running_loop().create_task(hand_in(scenario, "f0"))
             await asyncio.sleep(after / 1000)
             world.cut("f0", "s0", 1.0)
             sent = await coming
             assert sent.answer == 202
             await asyncio.sleep(3.0)
-            assert ran(day, sent.id) == 1
+            assert ran(scenario, sent.id) == 1
 
     assert not play(Plan(30), scene)[1]
 
 
 @test("a disk that stands still for seconds holds nobody up")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         world.nodes["s1"].disk_s = 3.0
-        told = [await hand_in(day, f"f{n % 3}") for n in range(30)]
+        told = [await hand_in(scenario, f"f{n % 3}") for n in range(30)]
         assert all(s.answer == 202 for s in told)
         quick = [s for s in told if s.answered - s.at < 0.08]
         assert len(quick) >= 24, str([round(s.answered - s.at, 3) for s in told])
         world.nodes["s1"].disk_s = 0.001
         await asyncio.sleep(8.0)
-        assert all(ran(day, s.id) == 1 for s in told)
+        assert all(ran(scenario, s.id) == 1 for s in told)
 
     assert not play(Plan(24), scene)[1]
 
@@ -140,9 +140,9 @@
     "two texts under one version, sent at once to two machines: both are acknowledged, one stands everywhere"
 )
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         bodies = [world.text(9, nominal) for nominal in (800, 900)]
         hosts = [(world.nodes[n].host, CONTROL) for n in ("s0", "s2")]
         calls = [
@@ -151,13 +151,13 @@
         ]
         assert [a.status for a in await asyncio.gather(*calls)] == [200, 200]
         await asyncio.sleep(1.5)
-        texts = {n.hut.cairn.force.raw for n in world.nodes.values()}
+        texts = {n.program.config_store.force.raw for n in world.nodes.values()}
         assert len(texts) == 1 and texts <= set(bodies)
 
     assert not play(Plan(25), scene)[1]
 
 
-async def control(scene: Day, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+async def control(scene: Scenario, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
     for address in scene.world.controls() * 5:
         try:
             answer = await ask(address, method, path, body, {"Host": "c"}, 1.0)
@@ -170,16 +170,16 @@
 
 @test("a store is retired under load: nothing is lost, late or twice, and its disk may go at once")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        waiting = [await hand_in(day, f"f{n % 3}", delay_ms=20_000) for n in range(30)]
-        assert (await control(day, "POST", "/api/retire/s1/initiate", b'{"period_s":8}'))[0] == 200
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        waiting = [await hand_in(scenario, f"f{n % 3}", delay_ms=20_000) for n in range(30)]
+        assert (await control(scenario, "POST", "/api/retire/s1/initiate", b'{"period_s":8}'))[0] == 200
         for n in range(40):
-            assert (await hand_in(day, f"f{n % 3}")).answer == 202
+            assert (await hand_in(scenario, f"f{n % 3}")).answer == 202
 
         async def done() -> bool:
-            return b"completed" in (await control(day, "GET", "/api/retire/s1/retrieve"))[1]
+            return b"completed" in (await control(scenario, "GET", "/api/retire/s1/retrieve"))[1]
 
         for _ in range(80):
             if await done():
@@ -190,9 +190,9 @@
         await asyncio.sleep(0.1)
         for one in waiting:
             assert len([n for n in on_disk(world, one.id) if n != "s1"]) >= 2
-        assert (await hand_in(day, "f0")).answer == 202
+        assert (await hand_in(scenario, "f0")).answer == 202
         await asyncio.sleep(22.0)
-        assert all(ran(day, id) == 1 for id in world.history.sent)
+        assert all(ran(scenario, id) == 1 for id in world.history.sent)
         late = [s for s in waiting if world.history.runs[s.id][0].at > s.at + s.delay + 1.0]
         assert not late
 
@@ -203,46 +203,46 @@
     "a retirement is refused where too few would be left, of a machine that nobody knows, and beside another"
 )
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        assert (await control(day, "POST", "/api/retire/s7/initiate", b"{}"))[0] == 404
-        assert (await control(day, "GET", "/api/retire/s0/retrieve"))[0] == 404
-        assert (await control(day, "POST", "/api/retire/s0/initiate", b'{"period_s":"soon"}'))[0] == 400
-        assert (await control(day, "POST", "/api/retire/s0/initiate", b'{"period_s":5}'))[0] == 200
-        assert (await control(day, "POST", "/api/retire/s0/initiate", b'{"period_s":5}'))[0] == 200
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        assert (await control(scenario, "POST", "/api/retire/s7/initiate", b"{}"))[0] == 404
+        assert (await control(scenario, "GET", "/api/retire/s0/retrieve"))[0] == 404
+        assert (await control(scenario, "POST", "/api/retire/s0/initiate", b'{"period_s":"soon"}'))[0] == 400
+        assert (await control(scenario, "POST", "/api/retire/s0/initiate", b'{"period_s":5}'))[0] == 200
+        assert (await control(scenario, "POST", "/api/retire/s0/initiate", b'{"period_s":5}'))[0] == 200
         await asyncio.sleep(1.0)
-        assert (await control(day, "POST", "/api/retire/s1/initiate", b"{}"))[0] == 409
-        assert world.nodes["s0"].hut.keeper.phase is Phase.RETIRING
+        assert (await control(scenario, "POST", "/api/retire/s1/initiate", b"{}"))[0] == 409
+        assert world.nodes["s0"].program.replicator.phase is Phase.RETIRING
 
     assert not play(Plan(27), scene)[1]
 
 
 @test("a retirement goes on after its machine was killed, and after all were")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for n in range(20):
-            await hand_in(day, f"f{n % 3}", delay_ms=30_000)
+            await hand_in(scenario, f"f{n % 3}", delay_ms=30_000)
         for target in world.targets.values():
             target.lost = 1.0
-        assert (await control(day, "POST", "/api/retire/s1/initiate", b"{}"))[0] == 200
+        assert (await control(scenario, "POST", "/api/retire/s1/initiate", b"{}"))[0] == 200
         world.nodes["s1"].kill(0.5)
         await asyncio.sleep(0.7)
         for node in world.nodes.values():
             node.kill(0.5)
         await asyncio.sleep(6.0)
-        assert b"completed" in (await control(day, "GET", "/api/retire/s1/retrieve"))[1]
+        assert b"completed" in (await control(scenario, "GET", "/api/retire/s1/retrieve"))[1]
 
     assert not play(Plan(28, stores=4), scene)[1]
 
 
 @test("after a loss of power everywhere nobody waits for a store that had been gone for long")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         world.nodes["s0"].power_off(1e6)
         world.add_store("s9", "z0")
         await asyncio.sleep(9.0)
@@ -250,8 +250,8 @@
             if node.name != "s0":
                 node.power_off(0.5)
         await asyncio.sleep(1.0)
-        assert all(world.nodes[n].hut.keeper.phase is Phase.SERVING for n in ("s1", "s2", "s9"))
-        assert (await hand_in(day, "f1")).answer == 202
+        assert all(world.nodes[n].program.replicator.phase is Phase.SERVING for n in ("s1", "s2", "s9"))
+        assert (await hand_in(scenario, "f1")).answer == 202
 
     assert not play(Plan(32), scene)[1]
 
@@ -259,30 +259,30 @@
 @test("losses of state in a row: {what}")
 def _(what: str = each("freeze", "power", "wipe", "kill")) -> None:
     faults = [Fault(1.0 + 10.0 * n, what, f"s{n}", 2.5) for n in range(2)]
-    world, breaches = day(*faults, seconds=16.0, per_s=20.0)
+    world, breaches = scenario(*faults, seconds=16.0, per_s=20.0)
     assert not breaches, str(breaches[:3])
     kept(world)
 
 
 @test("a call that fails while another store has become the holder is not repeated here")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for target in world.targets.values():
             target.work = 0.2
-        sent = [await hand_in(day, f"f{n % 3}", poison="500") for n in range(6)]
+        sent = [await hand_in(scenario, f"f{n % 3}", poison="500") for n in range(6)]
         for node in (n for n in world.nodes.values() if n.store):
-            keeper = node.hut.keeper
+            replicator = node.program.replicator
             others = [n for n in ("s0", "s1", "s2") if n != node.name]
-            for record in keeper.stock.shelf.held(node.name):
-                heir = next(n for n in others if n in record.keepers)
+            for record in replicator.local_store.index.held(node.name):
+                heir = next(n for n in others if n in record.replicas)
                 word = [record.id, 0, "", record.epoch + 1, heir, 0]
-                await keeper.ended([word])
-                await world.nodes[heir].hut.keeper.ended([word])
+                await replicator.ended([word])
+                await world.nodes[heir].program.replicator.ended([word])
         await asyncio.sleep(25.0)
         assert not [s.id for s in sent if len(world.history.runs[s.id]) > 5]
-        states = [world.nodes["s0"].hut.keeper.state_of(s.id) for s in sent]
+        states = [world.nodes["s0"].program.replicator.state_of(s.id) for s in sent]
         assert ["dead_letter", ""] in states
 
     assert not play(Plan(35), scene)[1]
@@ -290,10 +290,10 @@
 
 @test("a limit holds when its endpoint comes back to all that has waited for it")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
-        assert await day.operator.send_raw(world.text(9, 8000)) == 200
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        assert await scenario.operator.send_raw(world.text(9, 8000)) == 200
         outside = next(t for t in world.targets.values() if t.service == "outside")
         outside.capacity, outside.queue = 60, 200
         clients = [
@@ -315,9 +315,9 @@
 
 @test("targets that report to a store that is cut off are sent on, and stay known to the others")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for other in ("s1", "s2"):
             world.cut("s0", other, 9.0)
         await asyncio.sleep(3.0)
@@ -326,22 +326,22 @@
         answer = await ask((world.nodes["s0"].host, CONTROL), "POST", path, body, {"Host": "c"}, 2.0)
         assert answer.status == 503
         await asyncio.sleep(3.5)
-        assert all(t.live for n in ("s1", "s2") for t in world.nodes[n].hut.targets.known.values())
+        assert all(t.live for n in ("s1", "s2") for t in world.nodes[n].program.targets.known.values())
 
     assert not play(Plan(33), scene)[1]
 
 
 @test("when no store answers any more, a forwarder says so at once and does not hold requests to their end")
 def _() -> None:
-    async def scene(day: Day) -> None:
-        await day.start()
-        world = day.world
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
         for name in ("s0", "s1", "s2"):
             world.nodes[name].process.stop()
-        first = [hand_in(day, "f0") for _ in range(3)]
+        first = [hand_in(scenario, "f0") for _ in range(3)]
         await asyncio.gather(*first)
         await asyncio.sleep(0.2)
-        sent = await hand_in(day, "f0")
+        sent = await hand_in(scenario, "f0")
         assert sent.answer == 503 and sent.answered - sent.at < 0.05
 
     assert not play(Plan(34), scene)[1]
@@ -351,12 +351,14 @@
 def _() -> None:
     for again in (0.15, 0.2):
 
-        async def scene(scene: Day, again: float = again) -> None:
+        async def scene(scene: Scenario, again: float = again) -> None:
             await scene.start()
             world = scene.world
             sent = [await hand_in(scene, delay_ms=1000 + 15 * n) for n in range(100)]
             holders = {
-                n.name for n in world.nodes.values() if n.store and n.hut.keeper.stock.shelf.held(n.name)
+                n.name
+                for n in world.nodes.values()
+                if n.store and n.program.replicator.local_store.index.held(n.name)
             }
             assert holders == {"s0"}
             await asyncio.sleep(sent[0].at + 0.9 + again / 8 - world.loop.time())
@@ -376,15 +378,15 @@
     "what a store that leaves hands over gets there whole, also where the copy that was asked for never came"
 )
 def _() -> None:
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         world = scene.world
         sent = await hand_in(scene, delay_ms=3000)
         for node in world.nodes.values():
             if node.store and node.name != "s0":
-                shelf = node.hut.keeper.stock.shelf
-                for known in list(shelf.records.values()):
-                    shelf.drop(known)
+                index = node.program.replicator.local_store.index
+                for known in list(index.records.values()):
+                    index.drop(known)
         world.nodes["s0"].term()
         await until(lambda: not world.nodes["s0"].up, 6.0)
         world.nodes["s0"].off = True
@@ -411,15 +413,15 @@
         await asyncio.sleep(0.3)
         return await sound(self, target)
 
-    async def scene(scene: Day) -> None:
+    async def scene(scene: Scenario) -> None:
         await scene.start()
         world = scene.world
         sent = await hand_in(scene, body=b"a body")
-        stock = world.nodes["s0"].hut.keeper.stock
-        record = stock.shelf.records[sent.id]
+        local_store = world.nodes["s0"].program.replicator.local_store
+        record = local_store.index.records[sent.id]
         await asyncio.sleep(0.05)
-        stock.merge(record, State.QUEUED, "", 2, "s1", 0)
-        stock.merge(record, State.DONE, "1.i-1", 2, "s1", 0)
+        local_store.merge(record, State.QUEUED, "", 2, "s1", 0)
+        local_store.merge(record, State.DONE, "1.i-1", 2, "s1", 0)
         await asyncio.sleep(2.0)
         assert sent.id not in world.history.runs
 
--- a/tests/huts/versions.py
+++ b/tests/cluster/versions.py
@@ -1,7 +1,7 @@
-"""Every order of what can befall the operator's word on three disks, up to a depth, by the shipped `Cairn`.
+"""Every order of what can befall the operator's word on three disks, up to a depth, by the shipped `ConfigStore`.
 
 Two operators send; what one machine tells another may come late, again, or never. A machine may die (its disk
-stays) or come back with an empty disk, once. Each step makes cairns of the state before, has them do one thing,
+stays) or come back with an empty disk, once. Each step makes stores of the state before, has them do one thing,
 and reads the state off them.
 """
 
@@ -13,9 +13,9 @@
 from functools import cache
 from typing import Any
 
-from huts.cairn import Cairn
-from huts.cairn.files import digest
-from huts.waymark import Configuration, read_configuration
+from emberlatch.cluster.config_store import ConfigStore
+from emberlatch.cluster.config_store.files import digest
+from emberlatch.cluster.settings import Configuration, read_configuration
 
 STORES = ("a", "b", "c")
 Rank = tuple[int, str]
@@ -88,7 +88,7 @@
         self.raw = raw
 
 
-def alive(name: str, machine: Machine) -> tuple[Cairn, Disk]:
+def alive(name: str, machine: Machine) -> tuple[ConfigStore, Disk]:
     """The shipped object in that state."""
     disk = Disk(machine.disk)
 
@@ -98,19 +98,19 @@
     def enough(nodes: Iterable[str]) -> bool:
         return len(set(nodes)) > 1
 
-    cairn = Cairn(name, disk, offload, None, enough, list)  # type: ignore[arg-type]
-    cairn._have = dict(machine.have)
+    config_store = ConfigStore(name, disk, offload, None, enough, list)  # type: ignore[arg-type]
+    config_store._have = dict(machine.have)
     if machine.disk is not None:
-        cairn.held, cairn._held = parsed(machine.disk), rank(machine.disk)
+        config_store.held, config_store._held = parsed(machine.disk), rank(machine.disk)
     if machine.force is not None:
-        cairn.force, cairn._force = parsed(machine.force), rank(machine.force)
-    return cairn, disk
+        config_store.force, config_store._force = parsed(machine.force), rank(machine.force)
+    return config_store, disk
 
 
-def seen(world: World, at: int, cairn: Cairn, disk: Disk) -> World:
+def seen(world: World, at: int, config_store: ConfigStore, disk: Disk) -> World:
     """The world after one machine has done something."""
-    raw = cairn.force.raw if cairn.force is not None else None
-    machine = Machine(disk.raw, frozenset(cairn._have.items()), raw)
+    raw = config_store.force.raw if config_store.force is not None else None
+    machine = Machine(disk.raw, frozenset(config_store._have.items()), raw)
     before = world.machines[at]
     machines = (*world.machines[:at], machine, *world.machines[at + 1 :])
     world = replace(world, machines=machines)
@@ -124,9 +124,9 @@
     for number, (raw, to) in enumerate(SENT):
         if number not in world.sent:
             at = STORES.index(to)
-            cairn, disk = alive(to, world.machines[at])
-            at_once(cairn.keep(raw))
-            yield replace(seen(world, at, cairn, disk), sent=world.sent | {number})
+            config_store, disk = alive(to, world.machines[at])
+            at_once(config_store.keep(raw))
+            yield replace(seen(world, at, config_store, disk), sent=world.sent | {number})
     for at, name in enumerate(STORES):
         machine = world.machines[at]
         if machine.disk is not None:
@@ -139,10 +139,10 @@
             if to == name and rank(machine.force)[0] >= rank(raw)[0] and rank(machine.force) > world.acked:
                 yield replace(world, acked=rank(machine.force))
         if world.deaths < 2:
-            cairn, disk = alive(name, Machine(machine.disk))
-            cairn.load()
+            config_store, disk = alive(name, Machine(machine.disk))
+            config_store.load()
             after = replace(world, machines=(*world.machines[:at], Machine(), *world.machines[at + 1 :]))
-            yield replace(seen(after, at, cairn, disk), deaths=world.deaths + 1)
+            yield replace(seen(after, at, config_store, disk), deaths=world.deaths + 1)
         if world.wiped < 1 and machine.disk is not None:
             machines = [
                 replace(m, have=frozenset((n, r) for n, r in m.have if n != name)) for m in world.machines
@@ -152,15 +152,15 @@
             yield replace(world, machines=tuple(machines), told=told, wiped=1, deaths=world.deaths + 1)
     for to, sender, raw in world.words:
         at = STORES.index(to)
-        cairn, disk = alive(to, world.machines[at])
-        has = tuple(at_once(cairn.taken(raw)))
-        after = seen(world, at, cairn, disk)
+        config_store, disk = alive(to, world.machines[at])
+        has = tuple(at_once(config_store.taken(raw)))
+        after = seen(world, at, config_store, disk)
         yield replace(after, told=after.told | {(sender, to, (int(has[0]), str(has[1])))})
     for to, sender, has in world.told:
         at = STORES.index(to)
-        cairn, disk = alive(to, world.machines[at])
-        cairn.heard(sender, list(has))
-        yield seen(world, at, cairn, disk)
+        config_store, disk = alive(to, world.machines[at])
+        config_store.heard(sender, list(has))
+        yield seen(world, at, config_store, disk)
 
 
 def wrong(world: World) -> str:
