Replicated register: each version decided by the voters that the one before names

Need: a configuration was confirmed by resilience + 1 disks, of which two sets need not meet; of two texts under one number the higher digest won, also over one that was confirmed. Change: version n + 1 is one instance of single-decree Paxos among the voters of version n; pure acceptor, proposer, reader and commands beside thin shells for disk and links; identity on the disk; upkeep of the voters; silence by the word of a majority.

--- /dev/null
+++ b/emberlatch/cluster/consensus/register.py
@@ -0,0 +1,230 @@
+"""The replicated register in one process: the votes of this machine, and the newest state that it knows.
+
+The decisions are in the pure modules beside this one; here are the disk and the links. A process without a
+disk learns only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import replace
+from typing import Any
+
+from emberlatch.cluster.consensus.acceptor import Acceptor, AcceptorRecord, advance, install
+from emberlatch.cluster.consensus.commands import Batch, apply_batch
+from emberlatch.cluster.consensus.links import Links, Offload, Storage, Unreachable
+from emberlatch.cluster.consensus.messages import (
+    Fetch,
+    Install,
+    Learned,
+    Reply,
+    Request,
+    Snapshot,
+    Unfit,
+    reply_from_wire,
+    request_to_wire,
+)
+from emberlatch.cluster.consensus.proposer import Quorum
+from emberlatch.cluster.consensus.state import ControlState, Voter
+
+REQUEST_S = 0.35  # seconds for a voter to answer one request, its sync included
+PHASE_S = 0.5  # seconds for enough voters to answer
+
+Receive = Callable[[Reply], Request | None]
+"""Hears a reply; what that voter is asked beside before it is asked again, if anything."""
+
+
+class ControlRegister:
+    """See the module. `disks` are the synced copies that a decision must have."""
+
+    def __init__(
+        self,
+        record: AcceptorRecord | None,
+        storage: Storage | None,
+        offload: Offload,
+        links: Links,
+        disks: int,
+    ) -> None:
+        self._record, self._storage, self._offload = record, storage, offload
+        self.links, self._disks = links, disks
+        self._acceptor = Acceptor()
+        self._state = record.state if record is not None else ControlState()
+        self._writing = asyncio.Lock()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.disk_failing = False  # the last write did not succeed: no vote until one does
+        self.changed: Callable[[ControlState], None] = lambda _: None
+        self.disk_changed: Callable[[OSError | None], None] = lambda _: None
+
+    @property
+    def state(self) -> ControlState:
+        """The newest version that this process knows."""
+        return self._state
+
+    @property
+    def record(self) -> AcceptorRecord | None:
+        """What is on this machine's disk; None without one."""
+        return self._record
+
+    @property
+    def me(self) -> Voter:
+        """This machine and its disk; both empty without one."""
+        return self._record.me if self._record is not None else Voter("", "")
+
+    @property
+    def pending(self) -> bool:
+        """Whether this machine accepted something that may have been decided."""
+        return self._record is not None and self._record.accepted is not None
+
+    def close(self) -> None:
+        """Ask no more."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    # Requests of others.
+
+    async def handle(self, request: Request) -> Reply:
+        """One request of this or another process."""
+        if self._record is None or self._storage is None:
+            return Unfit(self.me, "no disk here")
+        async with self._writing:
+            record, reply = self._acceptor.handle(self._record, request)
+            kept = await self._keep(record)
+        self._know(record.state)
+        return reply if kept else Unfit(record.me, "its disk can't be written")
+
+    async def _keep(self, record: AcceptorRecord) -> bool:
+        """Put a record on disk; whether it is there."""
+        before, storage = self._record, self._storage
+        assert before is not None and storage is not None
+        durable = replace(record, last_batch=None)
+        if durable != replace(before, last_batch=None):
+            try:
+                await self._offload(lambda: storage.write(durable))
+            except OSError as error:
+                self._disk_is(error)
+                return False
+            self._disk_is(None)
+        self._record = record
+        return True
+
+    def _disk_is(self, error: OSError | None) -> None:
+        """The one place in which the disk's condition changes."""
+        failing = error is not None
+        if failing != self.disk_failing:
+            self.disk_failing = failing
+            self.disk_changed(error)
+
+    # Learning.
+
+    def _know(self, state: ControlState) -> None:
+        """The one place in which the known state changes: it only grows."""
+        if state.version > self._state.version:
+            self._state = state
+            self.changed(state)
+
+    async def learn(self, state: ControlState) -> None:
+        """A state that was chosen elsewhere."""
+        self._know(state)
+        if self._record is not None and state.version > self._record.state.version:
+            async with self._writing:
+                await self._keep(install(self._record, state))
+
+    async def learn_batch(self, before: ControlState, batch: Batch) -> None:
+        """The version after `before` was chosen as this batch."""
+        self._know(apply_batch(before, batch))
+        if self._record is None:
+            return
+        async with self._writing:
+            if self._record.state == before:
+                await self._keep(advance(self._record, batch))
+
+    async def fetch(self, node: str) -> None:
+        """Take over the newest state that another machine knows; Unreachable if it does not answer."""
+        reply = await self.ask(node, Fetch())
+        if isinstance(reply, Snapshot):
+            await self.learn(reply.state)
+
+    async def catch_up(self) -> None:
+        """Ask around until somebody knows of voters."""
+        for node in list(self.links.nodes()):
+            with contextlib.suppress(Unreachable):
+                await self.fetch(node)
+            if self._state.voters:
+                return
+
+    def teach(self, nodes: Iterable[str], request: Request) -> None:
+        """What was decided goes to these; nobody waits for it."""
+        for node in nodes:
+            if node != self.me.node:
+                self.spawn(self._teach(node, request))
+
+    async def _teach(self, node: str, request: Request) -> None:
+        with contextlib.suppress(Unreachable):  # it learns from the heartbeats
+            reply = await self.ask(node, request)
+            if not isinstance(reply, Learned) or reply.version < self._state.version:
+                await self.ask(node, Install(self._state))
+
+    # Asking voters.
+
+    async def ask(self, node: str, request: Request) -> Reply:
+        """Ask a machine, this one too; Unreachable if there is no answer that can be read."""
+        if self._record is not None and node == self.me.node:
+            return await self.handle(request)
+        told = await self.links.ask(node, request_to_wire(request), REQUEST_S)
+        try:
+            return reply_from_wire(told)
+        except (ValueError, TypeError) as error:
+            raise Unreachable(f"{node}: {error}") from error
+
+    def quorum(self, state: ControlState) -> Quorum:
+        """What it takes to decide the version after this one. For the founding a majority is enough."""
+        disks = self._disks if state.version > 0 else 1
+        return Quorum(state.voters, self.links.lost(state.voters), disks)
+
+    async def ask_voters(
+        self, state: ControlState, request: Request, receive: Receive, ended: Callable[[], bool]
+    ) -> None:
+        """Ask all voters at once, until enough was heard; whoever answers later is heard no more."""
+        done = asyncio.Event()
+
+        def heard(reply: Reply) -> Request | None:
+            if ended():
+                return None
+            beside = receive(reply)
+            if ended():
+                done.set()
+            return beside
+
+        asking = self.spawn(self._ask_all(state.voters, request, heard))
+        waiting = asyncio.ensure_future(done.wait())
+        try:
+            await asyncio.wait({asking, waiting}, timeout=PHASE_S, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            waiting.cancel()
+
+    async def _ask_all(self, voters: Iterable[Voter], request: Request, heard: Receive) -> None:
+        await asyncio.gather(*(self._ask_voter(voter, request, heard) for voter in voters))
+
+    async def _ask_voter(self, voter: Voter, request: Request, heard: Receive) -> None:
+        node = self.links.node_of(voter)
+        if node is None:
+            return
+        with contextlib.suppress(Unreachable):
+            beside = heard(await self.ask(node, request))
+            if beside is not None:
+                await self.ask(node, beside)
+                heard(await self.ask(node, request))
+
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run something as long as the register is open."""
+        task: asyncio.Task[Any] = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+        return task
+
+    def _task_ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # whoever waits for it hears of it
--- /dev/null
+++ b/emberlatch/cluster/consensus/service.py
@@ -0,0 +1,64 @@
+"""The replicated register as the rest of a process uses it."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from emberlatch.cluster.consensus.acceptor import AcceptorRecord
+from emberlatch.cluster.consensus.commands import Command
+from emberlatch.cluster.consensus.deciding import Decider
+from emberlatch.cluster.consensus.links import Links, Offload, Storage
+from emberlatch.cluster.consensus.messages import Submit, reply_to_wire, request_from_wire
+from emberlatch.cluster.consensus.reading import Reader
+from emberlatch.cluster.consensus.register import ControlRegister
+from emberlatch.cluster.consensus.state import ControlState
+
+
+class ControlService:
+    """Puts the parts together; `proposer` is unique to this life of this process."""
+
+    def __init__(
+        self,
+        record: AcceptorRecord | None,
+        storage: Storage | None,
+        offload: Offload,
+        links: Links,
+        proposer: str,
+        disks: int,
+        chance: random.Random,
+    ) -> None:
+        self.register = ControlRegister(record, storage, offload, links, disks)
+        self._decider = Decider(self.register, proposer, chance)
+        self._reader = Reader(self.register, self._decider)
+
+    @property
+    def state(self) -> ControlState:
+        """The newest version that this process knows."""
+        return self.register.state
+
+    async def serve(self, told: Any) -> list[Any]:
+        """One request of another process; ValueError or TypeError if it is none."""
+        request = request_from_wire(told)
+        if isinstance(request, Submit):
+            return reply_to_wire(await self._decider.submitted(request))
+        return reply_to_wire(await self.register.handle(request))
+
+    async def submit(self, command: Command, timeout: float) -> ControlState:
+        """Have a command decided: a state in which it has had its effect, if it can have one.
+
+        Undecided: it may still be decided, or never.
+        """
+        return await self._decider.submit(command, timeout)
+
+    async def confirm(self, timeout: float) -> ControlState:
+        """A state of which nothing newer had been decided when this was called; else Undecided."""
+        return await self._reader.confirm(timeout)
+
+    async def confirm_held(self, timeout: float) -> ControlState:
+        """The same of a state that is on as many disks as a decision needs."""
+        return await self._reader.confirm_held(timeout)
+
+    def close(self) -> None:
+        """Ask no more."""
+        self.register.close()
--- /dev/null
+++ b/emberlatch/cluster/consensus/storage.py
@@ -0,0 +1,113 @@
+"""The register's part of a machine's disk: who the machine is, the newest state, and its open vote.
+
+Three small files, each put in place whole. The identity is drawn when there is none: whoever lost the disk
+is somebody else. A file that is damaged counts as a lost disk.
+"""
+
+from __future__ import annotations
+
+import secrets
+from pathlib import Path
+from typing import Any
+
+import cbor2
+
+from emberlatch.cluster.consensus.acceptor import AcceptorRecord
+from emberlatch.cluster.consensus.messages import (
+    optional_ballot_from_wire,
+    optional_ballot_to_wire,
+    proposal_from_wire,
+    proposal_to_wire,
+)
+from emberlatch.cluster.consensus.state import ControlState, Voter
+from emberlatch.cluster.files import write_synced
+
+IDENTITY, STATE, VOTE = "identity.cbor", "state.cbor", "vote.cbor"
+
+
+class RecordStorage:
+    """See the module. `folder` is the register's own."""
+
+    def __init__(self, folder: Path, node: str) -> None:
+        self._folder, self._node = folder, node
+        self._state_on_disk: ControlState | None = None
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def load(self) -> AcceptorRecord | None:
+        """What an earlier life kept; None if this disk has nothing that can be trusted."""
+        try:
+            identity, seat = self._read(IDENTITY)
+            state = ControlState.from_wire(self._read(STATE))
+        except (OSError, ValueError, TypeError):
+            return None
+        record = AcceptorRecord(
+            Voter(self._node, str(identity)), None if seat is None else Voter(str(seat), ""), state
+        )
+        self._state_on_disk = state
+        return self._with_vote(record)
+
+    def _with_vote(self, record: AcceptorRecord) -> AcceptorRecord | None:
+        try:
+            version, promised, accepted = self._read(VOTE)
+            if version > record.state.version + 1:
+                return None  # the state that it follows is gone
+            if version <= record.state.version:  # decided since
+                return record
+            return AcceptorRecord(
+                record.me,
+                record.seat,
+                record.state,
+                optional_ballot_from_wire(promised),
+                proposal_from_wire(accepted),
+            )
+        except FileNotFoundError:
+            return record
+        except (OSError, ValueError, TypeError):
+            return None
+
+    def create(self, state: ControlState, seat: str | None) -> AcceptorRecord:
+        """A new identity on an empty disk; OSError if it can't be written.
+
+        `seat` is this machine's address if it takes part in the founding.
+        """
+        (self._folder / VOTE).unlink(missing_ok=True)
+        identity = secrets.token_hex(8)
+        write_synced(self._folder / STATE, cbor2.dumps(state.to_wire()))
+        write_synced(self._folder / IDENTITY, cbor2.dumps([identity, seat]))
+        self._state_on_disk = state
+        return AcceptorRecord(Voter(self._node, identity), None if seat is None else Voter(seat, ""), state)
+
+    def put(self, record: AcceptorRecord) -> None:
+        """Begin an empty disk with a whole record, its identity too."""
+        seat = None if record.seat is None else record.seat.node
+        write_synced(self._folder / IDENTITY, cbor2.dumps([record.me.identity, seat]))
+        self.write(record)
+
+    def write(self, record: AcceptorRecord) -> None:
+        """Keep a record, synced; OSError if it can't be."""
+        if record.state != self._state_on_disk:
+            self._state_on_disk = None  # until it is there for sure
+            write_synced(self._folder / STATE, cbor2.dumps(record.state.to_wire()))
+            self._state_on_disk = record.state
+        if record.promised is None and record.accepted is None:
+            return  # what lies there is about an earlier version
+        vote = [
+            record.state.version + 1,
+            optional_ballot_to_wire(record.promised),
+            proposal_to_wire(record.accepted),
+        ]
+        write_synced(self._folder / VOTE, cbor2.dumps(vote))
+
+    def _read(self, name: str) -> Any:
+        try:
+            return cbor2.loads((self._folder / name).read_bytes())
+        except (cbor2.CBORDecodeError, EOFError) as error:
+            raise ValueError(str(error)) from error
+
+
+def read_state(folder: Path) -> ControlState | None:
+    """The state in a machine's folder, for tools that look into a disk; None if there is none."""
+    try:
+        return ControlState.from_wire(cbor2.loads((folder / STATE).read_bytes()))
+    except (OSError, ValueError, TypeError, EOFError, cbor2.CBORDecodeError):
+        return None
--- /dev/null
+++ b/emberlatch/cluster/consensus/upkeep.py
@@ -0,0 +1,101 @@
+"""Keeps the group of voters as it should be: founds it, learns what others know, and has changes decided.
+
+Every process with a disk runs it; nothing rests on one of them doing so alone. What is due is worked out by
+the pure functions of `maintenance`; here are the pauses that keep processes from proposing all at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Mapping
+from typing import Protocol
+
+from emberlatch.cluster.consensus.commands import Command, Found
+from emberlatch.cluster.consensus.links import Undecided, Unreachable
+from emberlatch.cluster.consensus.maintenance import Losses, MemberReport, first_voters, next_change
+from emberlatch.cluster.consensus.service import ControlService
+from emberlatch.cluster.consensus.state import ControlState, Voter
+
+STEP_S = (0.2, 0.4)  # seconds between two steps, drawn
+PROPOSAL_PAUSE_S = 0.3  # seconds up to which a change that is due is left to another process
+PROPOSAL_TIMEOUT_S = 2.0
+FOUNDING_PATIENCE_S = 3.0  # seconds for late machines to turn up before the group is founded without them
+
+
+class MembershipView(Protocol):
+    """What this process knows of the machines with a disk, itself among them."""
+
+    def reports(self) -> Mapping[str, MemberReport]:
+        """Every machine that was heard of, and every voter, by its node.
+
+        A voter that this life of the process never heard is among them: else nobody would replace one that
+        stays away after all processes have started anew.
+        """
+
+    def seats(self) -> tuple[Voter, ...]:
+        """The seeds, which vote on the founding."""
+
+    def now(self) -> float:
+        """Seconds of a clock that only goes forward."""
+
+
+class Upkeep:
+    """See the module. `losses` is what the group has to bear."""
+
+    def __init__(
+        self, service: ControlService, view: MembershipView, losses: Losses, chance: random.Random
+    ) -> None:
+        self._service, self._view, self._losses, self._chance = service, view, losses, chance
+        self._began = view.now()
+
+    async def run(self) -> None:
+        """Step until cancelled."""
+        while True:
+            await asyncio.sleep(self._chance.uniform(*STEP_S))
+            await self.step()
+
+    async def step(self) -> None:
+        """Learn what is known elsewhere, and have the change that is due decided."""
+        await self._learn()
+        due = self._due()
+        if due is None:
+            return
+        await asyncio.sleep(self._chance.uniform(0, PROPOSAL_PAUSE_S))
+        if self._due() == due:  # nobody else has had it decided meanwhile
+            with contextlib.suppress(Undecided):
+                await self._service.submit(due, PROPOSAL_TIMEOUT_S)
+
+    async def _learn(self) -> None:
+        """Take over the state of the machine that has the newest one."""
+        register = self._service.register
+        others = [m for m in self._view.reports().values() if m.reachable and m.voter != register.me]
+        newest = max(others, key=lambda member: member.version, default=None)
+        with contextlib.suppress(Unreachable):
+            if newest is not None and newest.version > self._version_here():
+                await register.fetch(newest.voter.node)
+
+    def _version_here(self) -> int:
+        """Of the disk, where there is one: a state that could not be written is learned again."""
+        register = self._service.register
+        return register.record.state.version if register.record is not None else register.state.version
+
+    def _due(self) -> Command | None:
+        state = self._service.state
+        if state.version > 0:
+            return next_change(state, self._view.reports(), self._losses)
+        return self._founding(state)
+
+    def _founding(self, state: ControlState) -> Found | None:
+        """Found a group of full size at once; of less once the patience is over, if it bears the losses."""
+        record = self._service.register.record
+        if record is None or record.seat is None or record.seat not in state.voters:
+            return None
+        if state.voters != tuple(sorted(self._view.seats())):
+            return None  # these are other seeds than this process was started with
+        found = first_voters(self._view.reports().values(), self._losses)
+        if found is None or len(found.voters) >= self._losses.voters:
+            return found
+        waited = self._view.now() - self._began >= FOUNDING_PATIENCE_S
+        return found if waited and len(found.voters) > self._losses.machines else None
