--- /dev/null
+++ b/tests/simulation/test_operator_history.py
@@ -0,0 +1,181 @@
+"""The checker of operators' histories: each rule finds its planted history, and good ones pass."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from emberlatch.simulation.operator_history import (
+    NO_REVISION,
+    CallKind,
+    OperatorCall,
+    OperatorHistory,
+    Rule,
+)
+
+
+def replace(
+    start: float, end: float | None, status: int | None, revision: int, digest: str = "a"
+) -> OperatorCall:
+    return OperatorCall(CallKind.REPLACE, "m0", start, end, status, revision, digest)
+
+
+def read(start: float, end: float, revision: int, digest: str = "a") -> OperatorCall:
+    return OperatorCall(CallKind.RETRIEVE, "m1", start, end, 200, revision, digest)
+
+
+def rules(*calls: OperatorCall) -> set[Rule]:
+    return {violation.rule for violation in OperatorHistory(calls).violations()}
+
+
+PLANTED = {
+    "two texts confirmed": (
+        (replace(0, 1, 200, 5, "a"), replace(2, 3, 200, 5, "b")),
+        {Rule.TWO_TEXTS},
+    ),
+    "two texts confirmed at once": (
+        (replace(0, 3, 200, 5, "a"), replace(0, 3, 200, 5, "b")),
+        {Rule.TWO_TEXTS},
+    ),
+    "two texts read": (
+        (replace(0, None, None, 5, "a"), replace(0, None, None, 5, "b"), read(1, 2, 5), read(3, 4, 5, "b")),
+        {Rule.TWO_TEXTS},
+    ),
+    "stale read": (
+        (replace(0, 1, 200, 4), replace(2, 3, 200, 5), read(4, 5, 4)),
+        {Rule.STALE_READ},
+    ),
+    "nothing read after a confirmation": (
+        (replace(0, 1, 200, 4), read(2, 3, NO_REVISION, "")),
+        {Rule.STALE_READ},
+    ),
+    "backward read": (
+        (replace(0, 1, 200, 4), replace(2, 9, None, 5), read(3, 4, 5), read(5, 6, 4)),
+        {Rule.BACKWARD_READ},
+    ),
+    "never sent": ((read(0, 1, 5),), {Rule.NEVER_SENT}),
+    "another text than was sent": ((replace(0, 1, 503, 5, "a"), read(2, 3, 5, "b")), {Rule.NEVER_SENT}),
+    "read before it was sent": ((read(0, 1, 5), replace(2, 3, 200, 5)), {Rule.NEVER_SENT}),
+    "refused and read": ((replace(0, 1, 400, 5), read(2, 3, 5)), {Rule.REFUSED_READ}),
+    "read, then refused": (
+        (replace(0, None, None, 5), read(2, 3, 5), replace(4, 5, 409, 5)),
+        {Rule.REFUSED_READ},
+    ),
+    "confirmed, then a resend refused": (
+        (replace(0, 1, 200, 5), replace(2, 3, 409, 5)),
+        {Rule.TOLD_BOTH},
+    ),
+    "loser told that it stands": (
+        (replace(0, None, None, 5, "a"), read(1, 2, 5, "a"), replace(0, 3, 200, 5, "b")),
+        {Rule.LOSER_CONFIRMED},
+    ),
+    "first sent below what stood": (
+        (replace(0, 2, 200, 7), replace(3, 4, 200, 5), read(1, 5, 5)),
+        {Rule.OVERTAKEN_READ},
+    ),
+}
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_a_planted_history_is_found(name: str) -> None:
+    calls, expected = PLANTED[name]
+    for order in itertools.permutations(calls):
+        assert rules(*order) == expected
+
+
+GOOD = {
+    "nothing": (),
+    "read before anything": (read(0, 1, NO_REVISION, ""),),
+    "change and read": (replace(0, 1, 200, 5), read(2, 3, 5)),
+    "unclear and read": (replace(0, 1, 503, 5), read(2, 3, 5)),
+    "unclear and never read": (replace(0, 1, 200, 4), replace(2, 3, 503, 5), read(4, 5, 4)),
+    "unclear, and in force only later": (
+        replace(0, 1, 200, 4),
+        replace(2, None, None, 5),
+        read(4, 5, 4),
+        read(6, 7, 5),
+    ),
+    "unclear, then confirmed by a resend": (
+        replace(0, None, None, 5),
+        replace(2, 3, 200, 5),
+        replace(9, 10, 200, 5),
+        read(11, 12, 5),
+    ),
+    "loser refused": (replace(0, 2, 200, 5, "a"), replace(0, 2, 409, 5, "b"), read(3, 4, 5, "a")),
+    "loser unclear": (replace(0, 2, 200, 5, "a"), replace(0, 2, 503, 5, "b"), read(3, 4, 5, "a")),
+    "confirmed below what stands": (replace(0, 1, 200, 7), replace(2, 3, 200, 5, "b"), read(4, 5, 7)),
+    "read beside a change, either way": (
+        replace(0, 1, 200, 4),
+        replace(2, 6, 200, 5),
+        read(3, 5, 4),
+        read(3, 5, 5),
+    ),
+    "reads that overlap may go either way": (
+        replace(0, 1, 200, 4),
+        replace(2, None, None, 5),
+        read(3, 6, 5),
+        read(5, 7, 4),
+    ),
+    "too long ago to tell": (replace(0, 1, 200, 5), replace(2, 3, 410, 5)),
+    "read that was answered 503": (
+        replace(0, 1, 200, 5),
+        OperatorCall(CallKind.RETRIEVE, "m1", 2, 3, 503),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", GOOD)
+def test_a_good_history_passes(name: str) -> None:
+    assert rules(*GOOD[name]) == set()
+
+
+def _linearizable(calls: tuple[OperatorCall, ...]) -> bool:
+    """By trying all orders; a change without a clear answer may be left out, or come at any later time."""
+    clear = [call for call in calls if call.confirmed]
+    unclear = [call for call in calls if call.kind is CallKind.REPLACE and call.status is None]
+    for count in range(len(unclear) + 1):
+        for some in itertools.combinations(unclear, count):
+            if any(_explains(order) for order in itertools.permutations([*clear, *some])):
+                return True
+    return False
+
+
+def _explains(order: tuple[OperatorCall, ...]) -> bool:
+    for at, call in enumerate(order):
+        if any(later.end is not None and later.end < call.start for later in order[at + 1 :]):
+            return False
+    value = NO_REVISION
+    for call in order:
+        if call.kind is CallKind.REPLACE:
+            value = max(value, call.revision)
+        elif call.revision != value:
+            return False
+    return True
+
+
+def _drawn(chance: random.Random) -> tuple[OperatorCall, ...]:
+    calls: list[OperatorCall] = []
+    for _ in range(chance.randrange(2, 6)):
+        start = chance.randrange(8)
+        end, revision = start + chance.randrange(1, 6), chance.randrange(3)
+        if chance.random() < 0.5:
+            calls.append(read(start, end, *chance.choice(((NO_REVISION, ""), (revision, "a")))))
+        elif chance.random() < 0.6:
+            calls.append(replace(start, end, 200, revision))
+        else:
+            calls.append(replace(start, None, None, revision))
+    return tuple(calls)
+
+
+def test_the_rules_are_linearizability() -> None:
+    """Small drawn histories of one text for each revision, against a search through all orders."""
+    chance = random.Random(1)
+    verdicts = set()
+    for _ in range(1500):
+        calls = _drawn(chance)
+        expected = _linearizable(calls)
+        assert (rules(*calls) == set()) == expected, calls
+        verdicts.add(expected)
+    assert verdicts == {True, False}
