--- /dev/null
+++ b/tests/test_readme_commands.py
@@ -0,0 +1,55 @@
+"""The README's commands, as CI plays them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tools.readme_commands import NoCommandsError, section_commands
+
+README = Path(__file__).resolve().parent.parent / "README.md"
+TEXT = """\
+# title
+
+    before any section
+
+## First
+
+Some words
+    that are not a block.
+
+    one && two
+
+    three
+and a line of text.
+
+## Second
+
+```
+    fenced
+```
+
+## First part
+
+    four
+"""
+
+
+def test_commands_are_the_indented_blocks_of_the_section() -> None:
+    assert section_commands(TEXT, "First") == ["one && two", "three"]
+    assert section_commands(TEXT, "First part") == ["four"]
+
+
+@pytest.mark.parametrize("section", ["Second", "Third", "title"])
+def test_a_section_without_commands_is_an_error(section: str) -> None:
+    with pytest.raises(NoCommandsError, match=section):
+        section_commands(TEXT, section)
+
+
+def test_the_readme_has_the_sections_that_ci_plays() -> None:
+    assert any("emberlatch demo" in command for command in section_commands(README.read_text(), "Run it"))
+    assert any(
+        "try --kill" in command for command in section_commands(README.read_text(), "The whole system")
+    )
+    assert any("make test" in command for command in section_commands(README.read_text(), "Test it"))
