Orders and decommissions share one way to the register; seeds decide nothing but the founding

Cause: what an operator is told stood twice, in config_store and in consensus/operations; a configuration decided by the seeds in place of the founding would have left no group for ever (only the contact check of the control API prevented it). Change: ConfigOrders and Decommissions use Operations; an acceptor without a group accepts a founding alone, and nothing else is proposed to it.

--- a/emberlatch/cluster/config_store/orders.py
+++ b/emberlatch/cluster/config_store/orders.py
@@ -8,10 +8,8 @@
 
 from expression import Result
 
-from emberlatch.cluster.consensus import Configure, ControlState, RevisionStatus
-from emberlatch.cluster.consensus.links import Undecided
+from emberlatch.cluster.consensus.operations import Operations, ReplaceOutcome
 from emberlatch.cluster.consensus.service import ControlService
-from emberlatch.cluster.consensus.state import text_digest
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.settings import read_configuration
 
@@ -42,6 +40,7 @@
 
     def __init__(self, service: ControlService, in_contact: Callable[[], bool]) -> None:
         self._service, self._in_contact = service, in_contact
+        self._changes, self._reads = Operations(service, ORDER_S), Operations(service, READ_S)
 
     async def replace(self, raw: bytes) -> Settled:
         """An operator sends a configuration."""
@@ -53,35 +52,32 @@
                 revision = config.revision
         if not self._in_contact():
             return Settled(Outcome.UNDECIDED, reason="cut off from most of the voters")
-        try:
-            state = await self._service.submit(Configure(revision, raw), ORDER_S)
-        except Undecided as error:
-            return Settled(Outcome.UNDECIDED, reason=str(error))
-        return self._judged(state, revision, raw)
-
-    @staticmethod
-    def _judged(state: ControlState, revision: int, raw: bytes) -> Settled:
-        match state.status(revision, text_digest(raw)):
-            case RevisionStatus.COMMITTED:
+        match await self._changes.replace(revision, raw):
+            case ReplaceOutcome.COMMITTED:
                 log_event(Event.CONFIG_COMMITTED, f"revision={revision}")
                 return Settled(Outcome.DONE)
-            case RevisionStatus.CONFLICT:
-                digest = state.by_revision[revision]
-                log_event(Event.CONFIG_CONFLICT, f"revision={revision} digest={digest}")
-                return Settled(
-                    Outcome.CONFLICT,
-                    reason=f"revision {revision} stands for another text, digest {digest}; "
-                    f"in force: revision {state.revision}, digest {state.digest}",
-                )
-            case _:
+            case ReplaceOutcome.CONFLICT:
+                return self._conflict(revision)
+            case ReplaceOutcome.FORGOTTEN:
                 return Settled(Outcome.UNDECIDED, reason="too old to tell what its revision stands for")
+            case ReplaceOutcome.UNDECIDED:
+                return Settled(Outcome.UNDECIDED, reason="too few voters answer")
+
+    def _conflict(self, revision: int) -> Settled:
+        state = self._service.state
+        digest = state.by_revision.get(revision, "")
+        log_event(Event.CONFIG_CONFLICT, f"revision={revision} digest={digest}")
+        reason = (
+            f"revision {revision} stands for another text, digest {digest}; "
+            f"in force: revision {state.revision}, digest {state.digest}"
+        )
+        return Settled(Outcome.CONFLICT, reason=reason)
 
     async def retrieve(self) -> Settled:
         """The newest configuration; an empty text if there is none."""
         if not self._in_contact():
             return Settled(Outcome.UNDECIDED, reason="cut off from most of the voters")
-        try:
-            state = await self._service.confirm(READ_S)
-        except Undecided as error:
-            return Settled(Outcome.UNDECIDED, reason=str(error))
+        state = await self._reads.retrieve()
+        if state is None:
+            return Settled(Outcome.UNDECIDED, reason="too few voters answer")
         return Settled(Outcome.DONE, state.text)
--- a/emberlatch/cluster/consensus/acceptor.py
+++ b/emberlatch/cluster/consensus/acceptor.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from emberlatch.cluster.consensus.commands import Batch, apply_batch
+from emberlatch.cluster.consensus.commands import Batch, apply_batch, founds
 from emberlatch.cluster.consensus.messages import (
     Accept,
     Accepted,
@@ -117,6 +117,8 @@
             return record, told
         if record.vote is None:
             return record, Unfit(voter, "it has no vote")
+        if record.state.version == 0 and isinstance(request, Accept) and not founds(request.batch):
+            return record, Unfit(voter, "the group has to be founded first")
         if record.promised is not None and request.ballot < record.promised:
             return record, Rejected(voter, request.version, record.promised)
         if isinstance(request, Prepare):
--- a/emberlatch/cluster/consensus/commands.py
+++ b/emberlatch/cluster/consensus/commands.py
@@ -133,6 +133,11 @@
 Batch = tuple[Command, ...]
 
 
+def founds(batch: Batch) -> bool:
+    """Whether a batch is a founding: the seeds decide nothing else, or there would never be a group."""
+    return len(batch) == 1 and isinstance(batch[0], Found)
+
+
 def apply_batch(state: ControlState, batch: Iterable[Command]) -> ControlState:
     """The next version."""
     for command in batch:
--- a/emberlatch/cluster/consensus/deciding.py
+++ b/emberlatch/cluster/consensus/deciding.py
@@ -9,7 +9,7 @@
 import random
 from dataclasses import dataclass
 
-from emberlatch.cluster.consensus.commands import Batch, Command, SetVoters
+from emberlatch.cluster.consensus.commands import Batch, Command, Found, SetVoters
 from emberlatch.cluster.consensus.links import Undecided, Unreachable
 from emberlatch.cluster.consensus.messages import (
     Learned,
@@ -124,6 +124,9 @@
     def _next_batch(self) -> Batch:
         """Changes of the group go alone, so that no order rides on two groups at once."""
         first = self._orders[0].command
+        if self._register.state.version == 0:
+            founding = next((o.command for o in self._orders if isinstance(o.command, Found)), None)
+            return () if founding is None else (founding,)
         if isinstance(first, SetVoters):
             return (first,)
         commands = [o.command for o in self._orders if not isinstance(o.command, SetVoters)]
@@ -145,7 +148,7 @@
         """One attempt at the next version; whether that version is decided now."""
         register = self._register
         state = register.state
-        if not state.voters:
+        if not state.voters or (state.version == 0 and not batch):  # nothing to decide before the founding
             await register.catch_up()
             return register.state.version > state.version
         self._round += 1
--- a/emberlatch/cluster/decommission/decommissions.py
+++ b/emberlatch/cluster/decommission/decommissions.py
@@ -14,6 +14,7 @@
 
 from emberlatch.cluster.consensus import ControlState, DecommissionMark, MarkDecommission
 from emberlatch.cluster.consensus.links import Undecided
+from emberlatch.cluster.consensus.operations import Operations
 from emberlatch.cluster.consensus.service import ControlService
 from emberlatch.cluster.control_api.answer import Answer
 from emberlatch.cluster.events import Event, log_event
@@ -48,6 +49,7 @@
 
     def __init__(self, me: str, tasks: Tasks, place: Place, service: ControlService) -> None:
         self._me, self._tasks, self._place, self._service = me, tasks, place, service
+        self._operations = Operations(service, ORDER_S)
         self._working = False
 
     def changed(self, before: ControlState, state: ControlState) -> None:
@@ -108,14 +110,12 @@
             return _cut_off()
         try:
             state = await self._service.confirm(ORDER_S)
-            mark = state.mark_of(node)
-            if mark is DecommissionMark.EMPTY and state.voter(node) is None:
-                state = await self._service.confirm_held(ORDER_S)
         except Undecided as error:
             return Answer.cause(503, str(error))
-        if mark is None:
+        if state.mark_of(node) is None:
             return Answer.cause(404, f"{node} is not being emptied")
-        completed = mark is DecommissionMark.EMPTY and state.voter(node) is None
+        empty = state.mark_of(node) is DecommissionMark.EMPTY
+        completed = empty and await self._operations.removed(node)
         told = {"state": "completed" if completed else "in_progress"}
         return Answer(200, json.dumps(told).encode())
 
@@ -131,9 +131,7 @@
         while not await self._emptied(replicator):
             await asyncio.sleep(POLL_S)
         while self._service.state.mark_of(self._me) is not DecommissionMark.EMPTY:
-            try:
-                await self._service.submit(MarkDecommission(self._me, DecommissionMark.EMPTY), ORDER_S)
-            except Undecided:
+            if not await self._operations.mark(self._me, DecommissionMark.EMPTY):
                 await asyncio.sleep(POLL_S)
 
     async def _emptied(self, replicator: Replicator) -> bool:
