Model check of the agreement on control state, with 24 planted bugs

Need: the tests of the register play some orders of messages; agreement has to hold in every order, with losses of disks, replacements and retirements.

Ruled out: one product space of all that may befall a deployment (too large), and a copy of the algorithm as a model: it would prove itself.

Change: an explorer drives the shipped Acceptor, Proposer, Quorum, ReadRound, next_change and commands over eleven small deployments, each until there is no new state. It judges by itself from the votes sent what is chosen, and lets a new proposer recover from the disks in each state. The reductions and why they lose nothing are stated in the module. The cluster's tests are run by ward, not pytest.

--- /dev/null
+++ b/tests/cluster/test_consensus_model.py
@@ -0,0 +1,232 @@
+"""Every order of steps of the shipped agreement on control state, and planted bugs that the check must find.
+
+`PYTHONPATH=. python -m tests.cluster.consensus_scenarios 500000` explores more, up to so many states each.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from typing import Any
+
+from ward import each, test
+
+from emberlatch.cluster.consensus import acceptor as acceptor_module
+from emberlatch.cluster.consensus.acceptor import Acceptor, AcceptorRecord, Step
+from emberlatch.cluster.consensus.commands import Configure
+from emberlatch.cluster.consensus.messages import (
+    Accept,
+    Accepted,
+    Chosen,
+    Prepare,
+    Promise,
+    ReadState,
+    Rejected,
+    Reply,
+    Request,
+)
+from emberlatch.cluster.consensus.proposer import Proposer, Quorum, ReadOutcome, ReadRound, Stage
+from emberlatch.cluster.consensus.state import Ballot, ControlState, Voter, text_digest
+from tests.cluster import consensus_scenarios as scenarios
+from tests.cluster.consensus_model import Explorer
+from tests.cluster.consensus_worlds import Scenario
+
+Plant = tuple[Any, str, Any]
+"""Where, which name, and the wrong thing that it stands for."""
+
+
+@contextmanager
+def planted(*plants: Plant) -> Iterator[None]:
+    """For a while names in the shipped code stand for something wrong."""
+    with ExitStack() as stack:
+        for where, name, bug in plants:
+            stack.callback(setattr, where, name, getattr(where, name))
+            setattr(where, name, bug)
+        yield
+
+
+# Planted bugs.
+
+handle, vote, not_next = Acceptor.handle, Acceptor._vote, Acceptor._not_next
+receive, promised, accepted = Proposer.receive, Proposer._promised, Proposer._accepted
+hear_read = ReadRound.receive
+
+
+def promise_unsynced(self: Acceptor, record: AcceptorRecord, request: Request) -> Step:
+    after, reply = handle(self, record, request)
+    return (record if isinstance(reply, Promise) else after), reply
+
+
+def accept_unsynced(self: Acceptor, record: AcceptorRecord, request: Request) -> Step:
+    after, reply = handle(self, record, request)
+    return (record if isinstance(reply, Accepted) else after), reply
+
+
+def vote_of_the_machine(self: AcceptorRecord) -> Voter | None:
+    """Whatever disk the machine has."""
+    return self.state.voter(self.me.node)
+
+
+def lower_ballot_accepted(self: Acceptor, record: AcceptorRecord, request: Prepare | Accept) -> Step:
+    return vote(self, replace(record, promised=None), request)
+
+
+def any_version(self: Acceptor, record: AcceptorRecord, voter: Voter, request: Any) -> Reply | None:
+    """Requests about versions that were decided count for the next one."""
+    told = not_next(self, record, voter, request)
+    return None if isinstance(told, Chosen | acceptor_module.Snapshot) else told
+
+
+def any_group(self: Acceptor, record: AcceptorRecord, voter: Voter, request: Any) -> Reply | None:
+    return not_next(self, record, voter, replace(request, group=record.state.group))
+
+
+def half_is_enough(self: Quorum) -> int:
+    return len(self.voters) // 2
+
+
+def majority_of_the_live(self: Quorum) -> int:
+    return len(self.survivors) // 2 + 1
+
+
+def any_survivors(self: Quorum, votes: set[Voter], least: int) -> bool:
+    """All survivors are enough, whatever majorities there were."""
+    counted = len(votes & self.survivors)
+    return counted >= least or counted == len(self.survivors)
+
+
+def highest_digest_wins(self: Proposer, promise: Promise) -> None:
+    self._best, best = None, self._best
+    promised(self, promise)
+    found = [proposal for proposal in (best, promise.accepted) if proposal is not None]
+    self._best = max(found, key=lambda proposal: digest_of(proposal.batch), default=None)
+    if self.stage is Stage.ACCEPTING and self._best is not None:
+        self.batch = self._best.batch
+
+
+def digest_of(batch: Any) -> str:
+    return "".join(text_digest(command.text) for command in batch if isinstance(command, Configure))
+
+
+def accepted_ignored(self: Proposer, promise: Promise) -> None:
+    promised(self, replace(promise, accepted=None))
+
+
+def first_accepted_wins(self: Proposer, promise: Promise) -> None:
+    """The first proposal told, not that of the highest ballot."""
+    best = self._best or promise.accepted
+    promised(self, promise)
+    self._best = best
+    if self.stage is Stage.ACCEPTING and best is not None:
+        self.batch = best.batch
+
+
+def any_ballot(self: Proposer, reply: Reply) -> Request | None:
+    """Replies to an earlier ballot count."""
+    if isinstance(reply, Promise | Accepted):
+        reply = replace(reply, ballot=self.ballot)
+    return receive(self, reply)
+
+
+def counted_again(self: Proposer, told: Accepted) -> None:
+    """A doubled reply counts as that of another voter."""
+    others = sorted(self.quorum.survivors - self._votes)
+    accepted(self, replace(told, voter=others[0]) if told.voter in self._votes and others else told)
+
+
+def promises_kept_as_votes(self: Proposer, promise: Promise) -> None:
+    votes = {*self._votes, promise.voter}
+    promised(self, promise)
+    if self.stage is Stage.ACCEPTING:
+        self._votes = votes
+
+
+def read_without_round(self: ReadRound, reply: Reply) -> None:
+    hear_read(self, reply)
+    if self.outcome is ReadOutcome.OPEN and isinstance(reply, ReadState):
+        self.outcome = ReadOutcome.CONFIRMED
+
+
+def pending_ignored(self: ReadRound, reply: Reply) -> None:
+    hear_read(self, replace(reply, pending=False) if isinstance(reply, ReadState) else reply)
+
+
+def holding_ignored(self: ReadRound, reply: Reply) -> None:
+    self.holding = False
+    hear_read(self, reply)
+
+
+def older_snapshot_taken(record: AcceptorRecord, state: ControlState) -> AcceptorRecord:
+    return replace(record, state=state, promised=None, accepted=None, last_batch=None)
+
+
+def learning_resets_nothing(record: AcceptorRecord, state: ControlState) -> AcceptorRecord:
+    return replace(record, state=state) if state.version > record.state.version else record
+
+
+def last_text_wins(self: Configure, state: ControlState) -> ControlState:
+    history = {**state.by_revision, self.revision: text_digest(self.text)}
+    return replace(state, history=tuple(history.items()), revision=self.revision, text=self.text)
+
+
+def rejected_never(self: Acceptor, record: AcceptorRecord, request: Prepare | Accept) -> Step:
+    """A voter that promised a higher ballot accepts, and keeps its higher promise."""
+    after, reply = vote(self, record, request)
+    if isinstance(reply, Rejected) and isinstance(request, Accept):
+        after, reply = vote(self, replace(record, promised=None), request)
+        return replace(after, promised=record.promised), reply
+    return after, reply
+
+
+RACE, REPLACEMENT, RETIREMENT = scenarios.RACE, scenarios.REPLACEMENT, scenarios.RETIREMENT
+ONE_COPY = replace(scenarios.SECOND_LOSS_TOO_EARLY, disk_copies=1)
+REUSED = (Ballot(1, "p"), Ballot(1, "p"), Ballot(2, "p"))
+SEAT_KEPT = replace(scenarios.FOUNDING, seats=(*scenarios.SEATS, scenarios.SEATS[2]), symmetric=())
+
+BUGS: dict[str, tuple[Scenario, tuple[Plant, ...]]] = {
+    "a promise that is not synced": (RACE, ((Acceptor, "handle", promise_unsynced),)),
+    "an acceptance that is not synced": (RACE, ((Acceptor, "handle", accept_unsynced),)),
+    "a vote from an empty disk": (REPLACEMENT, ((AcceptorRecord, "vote", property(vote_of_the_machine)),)),
+    "half of the voters": (RACE, ((Quorum, "majority", property(half_is_enough)),)),
+    "a majority of the live": (
+        ONE_COPY,
+        ((Quorum, "majority", property(majority_of_the_live)),),
+    ),
+    "any survivors": (scenarios.SECOND_LOSS_TOO_EARLY, ((Quorum, "_reached", any_survivors),)),
+    "a version that was decided": (scenarios.SUCCESSION, ((Acceptor, "_not_next", any_version),)),
+    "another group": (scenarios.FOUNDING, ((Acceptor, "_not_next", any_group),)),
+    "a seat kept by an empty disk": (SEAT_KEPT, ()),
+    "a read without a round": (scenarios.READ, ((ReadRound, "receive", read_without_round),)),
+    "a read that ignores what is pending": (scenarios.READ, ((ReadRound, "receive", pending_ignored),)),
+    "a member let go too early": (RETIREMENT, ((ReadRound, "receive", holding_ignored),)),
+    "the highest digest": (RACE, ((Proposer, "_promised", highest_digest_wins),)),
+    "accepted proposals ignored": (RACE, ((Proposer, "_promised", accepted_ignored),)),
+    "the first accepted proposal": (RACE, ((Proposer, "_promised", first_accepted_wins),)),
+    "a lower ballot": (RACE, ((Acceptor, "_vote", lower_ballot_accepted),)),
+    "a lower ballot beside the promise": (RACE, ((Acceptor, "_vote", rejected_never),)),
+    "ballots used again after a restart": (replace(RACE, ballots=REUSED), ()),
+    "replies to an earlier ballot": (RACE, ((Proposer, "receive", any_ballot),)),
+    "a reply counted twice": (RACE, ((Proposer, "_accepted", counted_again),)),
+    "promises counted as acceptances": (RACE, ((Proposer, "_promised", promises_kept_as_votes),)),
+    "an older snapshot": (scenarios.SUCCESSION, ((acceptor_module, "install", older_snapshot_taken),)),
+    "a promise kept beyond its version": (
+        scenarios.SUCCESSION,
+        ((acceptor_module, "install", learning_resets_nothing),),
+    ),
+    "the last text under a revision": (scenarios.SUCCESSION, ((Configure, "apply", last_text_wins),)),
+}
+
+
+@test("no order of steps breaks the agreement: {name}")
+def _(name: str = each(*scenarios.CI)) -> None:
+    result = Explorer(scenarios.CI[name]).explore()
+    assert result.complete and not result.violation, str(result)
+
+
+@test("the check finds a planted bug: {bug}")
+def _(bug: str = each(*BUGS)) -> None:
+    scenario, plants = BUGS[bug]
+    with planted(*plants):
+        result = Explorer(scenario).explore()
+    assert result.violation, str(result)
