--- a/emberlatch/cluster/cli/asking.py
+++ b/emberlatch/cluster/cli/asking.py
@@ -5,15 +5,24 @@
 import asyncio
 import json
 import sys
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
 from emberlatch.cluster.control_plane import NOT_IN_CONTACT
 from emberlatch.cluster.membership import Member
 from emberlatch.cluster.message_store import State
-from emberlatch.cluster.rpc import Lost, RpcConnection, TrafficCounters
+from emberlatch.cluster.rpc import (
+    ANYONE,
+    Incarnation,
+    LocalEndpoint,
+    Lost,
+    RpcConnection,
+    TrafficCounters,
+)
 from emberlatch.engine import Tasks
 
+CALLER = "emberlatch-cluster"  # the node by which a command presents itself
 PATIENCE = 1.5  # seconds for a store to connect and answer
 Address = tuple[str, int]
 
@@ -41,16 +50,19 @@
 async def ask(at: Address, *questions: tuple[str, Any]) -> list[Any]:
     """Ask a process on the port for other processes; Lost says at which step there was no answer."""
     loop, peer = asyncio.get_running_loop(), f"{at[0]}:{at[1]}"
+    endpoint = LocalEndpoint(Incarnation(CALLER, time.time_ns()))
     step, connection = "connect", None
     try:
         async with asyncio.timeout(PATIENCE):
             _, connection = await loop.create_connection(
-                lambda: RpcConnection(_asked_nothing, Tasks(), TrafficCounters(), peer), *at
+                lambda: RpcConnection(endpoint, _asked_nothing, Tasks(), TrafficCounters(), peer, ANYONE),
+                *at,
             )
+            await connection.established()
             answers = []
             for method, payload in questions:
                 step = method
-                answers.append(await connection.ask(method, payload))
+                answers.append(await connection.ask(method, payload).answer)
             return answers
     except (OSError, TimeoutError) as error:
         raise Lost(step, peer, str(error) or "no answer in time", step != "connect") from None
--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -26,6 +26,7 @@
     PEER_RUBBISH = 204
     MEMBER_NEW = 205
     MEMBER_LEFT = 206
+    CALL_STRAY = 207
     CONFIG_TAKEN = 301
     CONFIG_REFUSED = 302
     CONFIG_COMMITTED = 303
@@ -89,6 +90,11 @@
         "member counts no more",
         "A store was silent for long; the others go on without.",
     ),
+    Event.CALL_STRAY: (
+        logging.WARNING,
+        "stray on a link",
+        "An answer, a request or a process was not the one that is meant; it was dropped.",
+    ),
     Event.CONFIG_TAKEN: (logging.INFO, "configuration taken", "A version is in force in this process."),
     Event.CONFIG_REFUSED: (
         logging.WARNING,
--- a/emberlatch/cluster/node.py
+++ b/emberlatch/cluster/node.py
@@ -29,7 +29,15 @@
     Replicator,
     State,
 )
-from emberlatch.cluster.rpc import BEAT, Peer, PeerState, RpcConnection, RpcServer
+from emberlatch.cluster.rpc import (
+    BEAT,
+    Incarnation,
+    LocalEndpoint,
+    Peer,
+    PeerState,
+    RpcConnection,
+    RpcServer,
+)
 from emberlatch.cluster.settings import Configuration, NodeSettings
 from emberlatch.engine import Machine, Tasks
 from emberlatch.store import Offload
@@ -55,6 +63,7 @@
     ) -> None:
         self.settings, self.machine, self.tasks = settings, machine, Tasks()
         self._offload, self._life, self._seed, self._failed = offload, life, seed, failed
+        self.endpoint = LocalEndpoint(Incarnation(settings.node, life))
         self.membership = MembershipView(settings, life, self.tasks, self, self.serve)
         self.stopping = False
         self.config_store = ConfigStore(self.tasks)
@@ -225,7 +234,7 @@
             self._make_store()
         inner = settings.ip, settings.inner_port
         self.membership.rpc_server = RpcServer(
-            self.machine, inner, self.serve, self.tasks, self.membership.counters
+            self.machine, inner, self.endpoint, self.serve, self.tasks, self.membership.counters
         )
         self.membership.dial()
         most = max(16, (settings.max_fds - 300) // 2)
--- a/emberlatch/cluster/rpc/__init__.py
+++ b/emberlatch/cluster/rpc/__init__.py
@@ -1,7 +1,23 @@
 """Frames and calls between the system's own processes."""
 
-from emberlatch.cluster.rpc.connection import Lost, RpcConnection, RpcServer
-from emberlatch.cluster.rpc.counters import TrafficCounters
+from emberlatch.cluster.rpc.connection import PendingCall, RpcConnection, RpcServer
+from emberlatch.cluster.rpc.counters import Stray, TrafficCounters
+from emberlatch.cluster.rpc.errors import ForeignPeer, Lost
+from emberlatch.cluster.rpc.incarnation import ANYONE, Incarnation, LocalEndpoint
 from emberlatch.cluster.rpc.peer import BEAT, Peer, PeerState
 
-__all__ = ["BEAT", "Lost", "Peer", "PeerState", "RpcConnection", "RpcServer", "TrafficCounters"]
+__all__ = [
+    "ANYONE",
+    "BEAT",
+    "ForeignPeer",
+    "Incarnation",
+    "LocalEndpoint",
+    "Lost",
+    "Peer",
+    "PeerState",
+    "PendingCall",
+    "RpcConnection",
+    "RpcServer",
+    "Stray",
+    "TrafficCounters",
+]
--- a/emberlatch/cluster/rpc/connection.py
+++ b/emberlatch/cluster/rpc/connection.py
@@ -1,8 +1,9 @@
-"""One connection between two processes: CBOR in frames of a length (4 bytes, big-endian) and so many bytes.
+"""One connection between two processes, on which both sides may ask.
 
-A frame is an array: [0, number, method, payload] asks, [1, number, payload] answers, [2, number, text] says
-that it could not be answered, [3, method, payload] tells and wants no answer. Both sides may ask. What can't
-be read costs its sender the connection, and nothing else.
+Each side first says who it is, and the dialler whom it expects: on a connection to anybody else nothing
+follows. A request is sent once, under a number that this process never uses again. An answer that belongs to
+no waiting call is dropped and counted; unless it is merely late, the connection is closed, for its other end
+can't be trusted. What can't be read costs its sender the connection, and nothing else.
 """
 
 from __future__ import annotations
@@ -10,59 +11,111 @@
 import asyncio
 import inspect
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any, cast
 
-import cbor2
-
 from emberlatch.cluster.events import Event, log_event
-from emberlatch.cluster.rpc.counters import TrafficCounters
+from emberlatch.cluster.rpc.counters import Stray, TrafficCounters
+from emberlatch.cluster.rpc.dedupe import CallKey
+from emberlatch.cluster.rpc.errors import ForeignPeer, Lost
+from emberlatch.cluster.rpc.frames import (
+    VERSION,
+    Failure,
+    Frame,
+    FrameError,
+    FrameReader,
+    Greeting,
+    Notice,
+    Request,
+    Response,
+    encode,
+)
+from emberlatch.cluster.rpc.incarnation import Incarnation, LocalEndpoint
+from emberlatch.cluster.rpc.methods import runs_once
 from emberlatch.engine import Machine, Tasks
 from emberlatch.net.accept import Acceptor
 
-MOST_FRAME = 8 * 1024 * 1024  # bytes
-MOST_ASKED = 20_000  # questions of one connection that have no answer yet
-ASK, ANSWER, FAILED, TELL = range(4)
+MAX_UNANSWERED = 20_000  # requests of one connection that have no answer yet
+MAX_ERROR_TEXT = 200  # characters of an error that the caller is told
 
 Serve = Callable[["RpcConnection", str, Any], Any]
-"""Serves a question: returns the answer, or a coroutine that brings it. Raises what is told as text."""
+"""Serves a request: returns the answer, or a coroutine that brings it. Raises what is told as text."""
+
+
+@dataclass(frozen=True, slots=True)
+class PendingCall:
+    """A request that was handed to a connection; the future brings the answer or Lost."""
 
+    number: int
+    answer: asyncio.Future[Any]
 
-class Lost(Exception):
-    """A call has no answer. `sent`: it may have arrived; else it surely did not."""
 
-    def __init__(self, step: str, peer: str, text: str, sent: bool) -> None:
-        super().__init__(f"{step} at {peer}: {text}")
-        self.step, self.peer, self.text, self.sent = step, peer, text, sent
+@dataclass(frozen=True, slots=True)
+class _Outgoing:
+    """A frame that was not handed to the transport yet; `number` if it is a request."""
+
+    number: int | None
+    data: bytes
 
 
 class RpcConnection(asyncio.Protocol):
-    """One end of a connection."""
+    """One end of a connection. `expected`: whom the dialler wants to reach; None on the accepting side."""
 
     transport: asyncio.Transport
 
-    def __init__(self, serve: Serve, tasks: Tasks, counters: TrafficCounters, name: str = "?") -> None:
+    def __init__(
+        self,
+        endpoint: LocalEndpoint,
+        serve: Serve,
+        tasks: Tasks,
+        counters: TrafficCounters,
+        name: str = "?",
+        expected: Incarnation | None = None,
+    ) -> None:
         self.name, self._serve, self._tasks, self._counters = name, serve, tasks, counters
-        self._buffer = bytearray()
-        self._number = 0
-        self._asked: dict[int, asyncio.Future[Any]] = {}
-        self._since: dict[int, float] = {}  # when each was asked
-        self._out: list[bytes] = []
+        self._endpoint, self._expected = endpoint, expected
+        self.remote: Incarnation | None = None  # who is at the other end, once it has said so
+        self._foreign: Incarnation | None = None  # who is there instead of the expected one
+        self._decided = asyncio.Event()  # one of the two is known, or the connection is lost
+        self._reader = FrameReader()
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._asked_at: dict[int, float] = {}  # of all without an answer, waited for or given up
+        self._last_number = 0  # of this connection's requests
+        self._queue: list[_Outgoing] = []
+        self._writable = True  # the transport holds nothing back
+        self._late_logged = False
         self.closed = False
         self.heard = 0.0  # loop time at which something came last
         self.gone: Callable[[], None] = lambda: None
 
+    # The connection's life.
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # a loop's own need not be of that class
+        # With no room above zero, what the kernel does not take stays in our own queue, where it is known
+        # that it was never sent.
+        self.transport.set_write_buffer_limits(high=0)
         self.heard = asyncio.get_running_loop().time()
+        if self._expected is not None:
+            self._greet(self._expected)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        asked, self._asked = self._asked, {}
-        for future in asked.values():
-            if not future.done():
-                future.set_exception(Lost("call", self.name, "connection lost", True))
+        unsent = {outgoing.number for outgoing in self._queue}
+        waiting, self._waiting = self._waiting, {}
+        for number, answer in waiting.items():
+            if not answer.done():
+                answer.set_exception(Lost("call", self.name, "connection lost", number not in unsent))
+        self._decided.set()
         self.gone()
 
+    def pause_writing(self) -> None:
+        self._writable = False
+
+    def resume_writing(self) -> None:
+        self._writable = True
+        self.flush()
+
     def close(self) -> None:
         """End it at once."""
         self.closed = True
@@ -70,110 +123,223 @@
 
     def leave(self) -> None:
         """End it once what was written has gone out."""
-        self._flush()
+        self._writable = True
+        self.flush()
         self.transport.close()
 
-    def ask(self, method: str, payload: Any) -> asyncio.Future[Any]:
-        """Ask; the future brings the answer or Lost."""
-        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        if self.closed:
-            future.set_exception(Lost(method, self.name, "no connection", False))
-            return future
-        self._number += 1
-        number = self._number
-        self._asked[number] = future
-        self._since[number] = asyncio.get_running_loop().time()
-        future.add_done_callback(lambda _: self._asked.pop(number, None))
-        self._write([ASK, number, method, payload], method)
-        return future
+    async def established(self) -> Incarnation:
+        """Who is at the other end; ForeignPeer if it is not whom we expect, Lost if it never says."""
+        await self._decided.wait()
+        if self._foreign is not None and self._expected is not None:
+            raise ForeignPeer(self._expected, self._foreign)
+        if self.remote is None:
+            raise Lost("greeting", self.name, "connection lost", False)
+        return self.remote
+
+    # Sending.
+
+    def ask(self, method: str, payload: Any) -> PendingCall:
+        """Send a request, once."""
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        remote = self.remote
+        if self.closed or remote is None or len(self._asked_at) >= MAX_UNANSWERED:
+            text = "too many requests without an answer" if remote and not self.closed else "no connection"
+            answer.set_exception(Lost(method, self.name, text, False))
+            return PendingCall(0, answer)
+        number = self._last_number = self._endpoint.next_number()
+        self._waiting[number] = answer
+        self._asked_at[number] = asyncio.get_running_loop().time()
+        answer.add_done_callback(lambda _: self._waiting.pop(number, None))
+        request = Request(number, self._endpoint.incarnation.life, remote.life, method, payload)
+        self._send(request, method, number)
+        return PendingCall(number, answer)
+
+    def abandon(self, call: PendingCall) -> bool:
+        """Wait for it no longer; whether it may have been sent. What was not sent yet never is."""
+        call.answer.cancel()
+        kept = [outgoing for outgoing in self._queue if outgoing.number != call.number]
+        withdrawn = len(kept) < len(self._queue)
+        if withdrawn:
+            self._queue = kept
+            self._asked_at.pop(call.number, None)
+        return not withdrawn
+
+    def tell(self, method: str, payload: Any) -> None:
+        """Tell, and want no answer."""
+        if not self.closed and self.remote is not None:
+            self._send(Notice(method, payload), method)
 
     def lag(self) -> float:
-        """For how long the oldest question has been without an answer, whether it is waited for or not."""
-        oldest = next(iter(self._since.values()), None)
+        """For how long the oldest request has been without an answer, whether it is waited for or not."""
+        oldest = next(iter(self._asked_at.values()), None)
         return 0.0 if oldest is None else asyncio.get_running_loop().time() - oldest
 
-    def tell(self, method: str, payload: Any) -> None:
-        """Tell, and want no answer."""
-        if not self.closed:
-            self._write([TELL, method, payload], method)
-
-    def _write(self, frame: list[Any], about: str) -> None:
-        data = cbor2.dumps(frame)
-        self._counters.count(self.name, about, 4 + len(data))
-        if not self._out:  # what is written in one turn leaves in one piece
-            asyncio.get_running_loop().call_soon(self._flush)
-        self._out.append(len(data).to_bytes(4, "big"))
-        self._out.append(data)
-
-    def _flush(self) -> None:
-        out, self._out = self._out, []
-        if out and not self.closed:
-            self.transport.write(b"".join(out))
+    def flush(self) -> None:
+        """What was written in one turn leaves in one piece."""
+        if self._queue and self._writable and not self.closed:
+            data = b"".join(outgoing.data for outgoing in self._queue)
+            self._queue = []
+            self.transport.write(data)
+
+    def _greet(self, expected: Incarnation) -> None:
+        me = self._endpoint.incarnation
+        self._send(Greeting(VERSION, me.node, me.life, expected.node, expected.life), "greeting")
+
+    def _send(self, frame: Frame, about: str, number: int | None = None) -> None:
+        self._send_encoded(encode(frame), about, number)
+
+    def _send_encoded(self, data: bytes, about: str, number: int | None = None) -> None:
+        if self.closed:
+            return
+        self._counters.count(self.name, about, len(data))
+        if not self._queue:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self._queue.append(_Outgoing(number, data))
+
+    # Receiving.
 
     def data_received(self, data: bytes) -> None:
         self.heard = asyncio.get_running_loop().time()
-        self._buffer += data
-        at, size = 0, len(self._buffer)
         try:
-            while size - at >= 4:
-                length = int.from_bytes(self._buffer[at : at + 4], "big")
-                if length > MOST_FRAME:
-                    raise ValueError(f"a frame of {length} bytes")
-                if size - at < 4 + length:
-                    break
-                frame = cbor2.loads(bytes(self._buffer[at + 4 : at + 4 + length]))
-                at += 4 + length
-                self._frame(frame)
+            for frame in self._reader.feed(data):
                 if self.closed:
                     return
+                self._receive(frame)
         except Exception as error:  # whatever it is, it costs its sender this connection
-            log_event(Event.PEER_RUBBISH, self.name, repr(error)[:200])
-            return self.close()
-        del self._buffer[:at]
-
-    def _frame(self, frame: list[Any]) -> None:
-        if not isinstance(frame, list) or not 3 <= len(frame) <= 4:
-            raise ValueError("no frame")
-        if frame[0] == ANSWER or frame[0] == FAILED:
-            self._since.pop(frame[1], None)
-            future = self._asked.get(frame[1])
-            if future is None or future.done():
-                return  # it was waited for no longer
-            if frame[0] == ANSWER:
-                future.set_result(frame[2])
-            else:
-                future.set_exception(Lost("call", self.name, str(frame[2]), True))
-        elif frame[0] == ASK:
-            self._served(frame[1], frame[2], frame[3])
-        elif frame[0] == TELL:
-            self._served(None, frame[1], frame[2])
+            log_event(Event.PEER_RUBBISH, self.name, repr(error)[:MAX_ERROR_TEXT])
+            self.close()
+
+    def _receive(self, frame: Frame) -> None:
+        if isinstance(frame, Greeting):
+            return self._greeted(frame)
+        if self.remote is None:
+            raise FrameError("a frame ahead of the greeting")
+        match frame:
+            case Response():
+                self._answered(frame, self.remote)
+            case Failure():
+                self._answered(frame, self.remote)
+            case Request():
+                self._requested(frame, self.remote)
+            case Notice():
+                self._noticed(frame)
+
+    def _greeted(self, greeting: Greeting) -> None:
+        """The other side says who it is. Whoever was taken for somebody else closes the connection."""
+        if self.remote is not None or greeting.version != VERSION:
+            raise FrameError(f"a greeting of version {greeting.version}")
+        remote, me = Incarnation(greeting.node, greeting.life), self._endpoint.incarnation
+        meant = Incarnation(greeting.expected_node, greeting.expected_life)
+        if self._expected is not None:
+            if not remote.satisfies(self._expected):
+                return self._reject(remote, self._expected)
+        else:  # it is told who we are in any case, and closes the connection itself if it wants another
+            self.name = greeting.node
+            self._greet(remote)
+        if not me.satisfies(meant):
+            self._stray(Stray.FOREIGN_PEER, f"{remote} expects {meant}, this is {me}")
+            return self.leave()
+        self.remote = remote
+        self._decided.set()
+
+    def _reject(self, remote: Incarnation, expected: Incarnation) -> None:
+        self._stray(Stray.FOREIGN_PEER, f"expected {expected}, found {remote}")
+        self._foreign = remote
+        self._decided.set()
+        self.close()
+
+    def _answered(self, frame: Response | Failure, remote: Incarnation) -> None:
+        ours = frame.caller_life == self._endpoint.incarnation.life and frame.receiver_life == remote.life
+        if not ours or frame.number > self._last_number:
+            return self._distrust(Stray.FOREIGN_ANSWER, frame.number)
+        if self._asked_at.pop(frame.number, None) is None:
+            return self._distrust(Stray.REPEATED_ANSWER, frame.number)
+        answer = self._waiting.get(frame.number)
+        if answer is None or answer.done():
+            return self._stray(Stray.LATE_ANSWER, f"number={frame.number}")
+        if isinstance(frame, Response):
+            answer.set_result(frame.payload)
+        else:
+            answer.set_exception(Lost("call", self.name, frame.text, True))
+
+    def _distrust(self, stray: Stray, number: int) -> None:
+        """Who sends this mixes up calls: nothing more is taken from this connection."""
+        self._stray(stray, f"number={number}")
+        self.close()
+
+    def _stray(self, stray: Stray, detail: str) -> None:
+        """Count what is dropped. Late answers come in crowds: the first of a connection is logged."""
+        self._counters.count_stray(self.name, stray)
+        late = stray is Stray.LATE_ANSWER
+        if not (late and self._late_logged):
+            log_event(Event.CALL_STRAY, self.name, stray.value, detail)
+        self._late_logged = self._late_logged or late
+
+    # Serving.
+
+    def _requested(self, request: Request, remote: Incarnation) -> None:
+        me = self._endpoint.incarnation
+        if request.receiver_life != me.life or request.caller_life != remote.life:
+            return self._distrust(Stray.FOREIGN_REQUEST, request.number)
+        if not runs_once(request.method):
+            return self._run(request, None)
+        key = CallKey(remote.node, remote.life, request.number)
+        repeat = self._endpoint.completed.begin(key, asyncio.get_running_loop().time())
+        if repeat is None:
+            return self._run(request, key)
+        self._stray(Stray.REPEATED_REQUEST, f"{request.method} number={request.number}")
+        if repeat.answer is not None:  # one that still runs answers where it was asked first
+            self._send_encoded(repeat.answer, f"={request.method}")
+
+    def _run(self, request: Request, key: CallKey | None) -> None:
+        try:
+            result = self._serve(self, request.method, request.payload)
+        except Exception as error:
+            log_event(Event.REQUEST_FAILED, request.method, self.name, repr(error)[:300])
+            return self._fail(request, repr(error), key)
+        if inspect.iscoroutine(result):
+            self._tasks.spawn(self._run_later(request, key, result))
         else:
-            raise ValueError("no frame")
+            self._respond(request, result, key)
 
-    def _served(self, number: int | None, method: str, payload: Any) -> None:
+    async def _run_later(self, request: Request, key: CallKey | None, work: Coroutine[Any, Any, Any]) -> None:
         try:
-            answer = self._serve(self, method, payload)
+            result = await work
         except Exception as error:
-            log_event(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
-            if number is not None:
-                self._write([FAILED, number, repr(error)[:200]], f"={method}")
+            if not isinstance(error, Lost):
+                log_event(Event.REQUEST_FAILED, request.method, self.name, repr(error)[:300])
+            return self._fail(request, repr(error), key)
+        self._respond(request, result, key)
+
+    def _respond(self, request: Request, result: Any, key: CallKey | None) -> None:
+        lives = request.caller_life, request.receiver_life
+        self._finish(request, Response(request.number, *lives, result), key)
+
+    def _fail(self, request: Request, text: str, key: CallKey | None) -> None:
+        lives = request.caller_life, request.receiver_life
+        self._finish(request, Failure(request.number, *lives, text[:MAX_ERROR_TEXT]), key)
+
+    def _finish(self, request: Request, answer: Response | Failure, key: CallKey | None) -> None:
+        data = encode(answer)
+        if key is not None:
+            self._endpoint.completed.finish(key, data)
+        self._send_encoded(data, f"={request.method}")
+
+    def _noticed(self, notice: Notice) -> None:
+        try:
+            result = self._serve(self, notice.method, notice.payload)
+        except Exception as error:
+            log_event(Event.REQUEST_FAILED, notice.method, self.name, repr(error)[:300])
             return
-        if inspect.iscoroutine(answer):
-            self._tasks.spawn(self._later(number, method, answer))
-        elif number is not None:
-            self._write([ANSWER, number, answer], f"={method}")
+        if inspect.iscoroutine(result):
+            self._tasks.spawn(self._notice_later(notice, result))
 
-    async def _later(self, number: int | None, method: str, answer: Coroutine[Any, Any, Any]) -> None:
+    async def _notice_later(self, notice: Notice, work: Coroutine[Any, Any, Any]) -> None:
         try:
-            told = await answer
+            await work
         except Exception as error:
             if not isinstance(error, Lost):
-                log_event(Event.REQUEST_FAILED, method, self.name, repr(error)[:300])
-            if number is not None and not self.closed:
-                self._write([FAILED, number, repr(error)[:200]], f"={method}")
-            return
-        if number is not None and not self.closed:
-            self._write([ANSWER, number, told], f"={method}")
+                log_event(Event.REQUEST_FAILED, notice.method, self.name, repr(error)[:300])
 
 
 class RpcServer:
@@ -183,16 +349,17 @@
         self,
         machine: Machine,
         address: tuple[str, int],
+        endpoint: LocalEndpoint,
         serve: Serve,
         tasks: Tasks,
         counters: TrafficCounters,
     ) -> None:
-        self._serve, self._tasks, self._counters = serve, tasks, counters
+        self._endpoint, self._serve, self._tasks, self._counters = endpoint, serve, tasks, counters
         self.connections: set[RpcConnection] = set()
         self._acceptor = Acceptor(machine.listen(address), self._make, tasks)
 
     def _make(self) -> RpcConnection:
-        connection = RpcConnection(self._serve, self._tasks, self._counters)
+        connection = RpcConnection(self._endpoint, self._serve, self._tasks, self._counters)
         self.connections.add(connection)
         connection.gone = lambda: self.connections.discard(connection)
         return connection
--- a/emberlatch/cluster/rpc/counters.py
+++ b/emberlatch/cluster/rpc/counters.py
@@ -1,18 +1,31 @@
-"""What a process sends to others: frames and bytes by who gets them and what they are about."""
+"""What a process sends to others, by who gets it and what it is about; and answers that belong to no call."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 
 Key = tuple[str, str]
 """A peer's node, and the method; answers to it are counted under it, with an `=` before."""
 
 
+class Stray(Enum):
+    """Something that came on a connection and belongs to nothing that waits there."""
+
+    LATE_ANSWER = "late answer"  # its caller had given up
+    REPEATED_ANSWER = "repeated answer"  # its call has had one
+    FOREIGN_ANSWER = "foreign answer"  # of a call that this connection never carried
+    FOREIGN_REQUEST = "foreign request"  # to or from another incarnation
+    REPEATED_REQUEST = "repeated request"  # it has run, and is not run again
+    FOREIGN_PEER = "foreign peer"  # another node, or an earlier life of it, has the address
+
+
 class TrafficCounters:
     """See the module. What it holds is bounded by peers x methods."""
 
     def __init__(self) -> None:
         self.sent: dict[Key, list[int]] = {}  # frames, bytes
+        self.strays: dict[tuple[str, Stray], int] = {}
 
     def count(self, peer: str, method: str, size: int) -> None:
         """A frame goes out."""
@@ -22,6 +35,14 @@
         sums[0] += 1
         sums[1] += size
 
+    def count_stray(self, peer: str, stray: Stray) -> None:
+        """Something was dropped."""
+        self.strays[peer, stray] = self.strays.get((peer, stray), 0) + 1
+
+    def dropped(self, stray: Stray) -> int:
+        """How often that was dropped, whoever sent it."""
+        return sum(count for (_, kind), count in self.strays.items() if kind is stray)
+
     def over(self, border: Callable[[str], bool]) -> dict[str, tuple[int, int]]:
         """Frames and bytes by method, of those peers that lie over a border."""
         found: dict[str, tuple[int, int]] = {}
--- a/emberlatch/cluster/rpc/peer.py
+++ b/emberlatch/cluster/rpc/peer.py
@@ -9,8 +9,10 @@
 from typing import Any, Protocol
 
 from emberlatch.cluster.events import Event, log_event
-from emberlatch.cluster.rpc.connection import Lost, RpcConnection, Serve
+from emberlatch.cluster.rpc.connection import RpcConnection, Serve
 from emberlatch.cluster.rpc.counters import TrafficCounters
+from emberlatch.cluster.rpc.errors import ForeignPeer, Lost
+from emberlatch.cluster.rpc.incarnation import ANYONE, Incarnation, LocalEndpoint
 from emberlatch.engine import Tasks
 
 BEAT = 0.4  # seconds between two questions whether the other side is there, where nothing else is wished
@@ -19,6 +21,8 @@
 STUCK = 0.25  # seconds without an answer after which it is asked nothing that somebody waits for
 LAG = 0.1  # seconds without an answer after which others are preferred
 PAUSES = (0.05, 0.1, 0.2, 0.3)  # seconds before the next dial, by how many failed in a row
+EARLIER_LIVES = 10  # dials that found an earlier life, after which it is believed: a clock was set back
+SEED_PREFIX = "seed "  # of the name of a peer of which only the address is known
 
 
 class PeerState(Enum):
@@ -33,6 +37,8 @@
 class Words(Protocol):
     """What is said on a link by itself, and who hears what came of it."""
 
+    endpoint: LocalEndpoint
+
     def hello(self) -> Any:
         """The first word on a new connection."""
 
@@ -73,6 +79,8 @@
         self.confirmed_at = -1e9  # loop time at which the last heartbeat was sent that it has answered
         self.spoken = -1e9  # loop time at which its process dialled us and said who it is
         self._hurry = asyncio.Event()
+        self._met: Incarnation | None = None  # who was at the other end last
+        self._earlier = 0  # dials in a row that found an earlier life of it
         self.connection: RpcConnection | None = None
         self._failed = 0
         self._task = tasks.spawn(self._keep())
@@ -110,13 +118,18 @@
         """Ask; raises Lost with `sent` if there is no answer in time."""
         if self.connection is None or not self.up:
             raise Lost(method, self.name, "no link", False)
-        future = self.connection.ask(method, payload)
-        done, _ = await asyncio.wait({future}, timeout=timeout)
+        connection = self.connection
+        call = connection.ask(method, payload)
+        try:
+            done, _ = await asyncio.wait({call.answer}, timeout=timeout)
+        except asyncio.CancelledError:
+            connection.abandon(call)
+            raise
         if not done:
-            future.cancel()
-            raise Lost(method, self.name, f"no answer in {timeout:.3f} s", True)
+            sent = connection.abandon(call)
+            raise Lost(method, self.name, f"no answer in {timeout:.3f} s", sent)
         try:
-            return future.result()
+            return call.answer.result()
         except Lost as lost:
             raise Lost(method, self.name, lost.text, lost.sent) from None
 
@@ -135,7 +148,7 @@
     def flush(self) -> None:
         """What was told leaves now."""
         if self.connection is not None:
-            self.connection._flush()
+            self.connection.flush()
 
     def close(self) -> None:
         """Keep it no longer."""
@@ -152,12 +165,21 @@
                     await self._hurry.wait()
             self._failed += 1
 
+    def _expected(self) -> Incarnation:
+        """Whom we dial: any node behind a seed's address, else that node, in the life last met or later."""
+        if self.name.startswith(SEED_PREFIX):
+            return ANYONE
+        met = self._met
+        known_life = met.life if met is not None and met.node == self.name else 0
+        return Incarnation(self.name, known_life if self._earlier < EARLIER_LIVES else 0)
+
     async def _dial(self) -> None:
         loop = asyncio.get_running_loop()
+        expected = self._expected()
         try:
             async with asyncio.timeout(CONNECT):
                 _, connection = await loop.create_connection(
-                    lambda: RpcConnection(self._serve, self._tasks, self._counters, self.name), *self.address
+                    lambda: self._connection(expected), *self.address
                 )
         except ConnectionRefusedError:
             return self._become(PeerState.REFUSED)
@@ -166,15 +188,11 @@
         lost = asyncio.Event()
         connection.gone = lost.set
         try:
-            async with asyncio.timeout(CONNECT):
-                asked_at = loop.time()
-                told = await connection.ask("hello", self._words.hello())
-            self.confirmed_at = asked_at
-            self.connection = connection
-            self._words.greeted(self, told)
-            self._failed = 0
-            self._become(PeerState.UP)
+            await self._greet(connection)
             await self._watch(connection, lost)
+        except ForeignPeer as foreign:  # whoever is there is not asked: the one that we want is not heard
+            self._earlier += foreign.found.node == expected.node
+            return self._become(PeerState.SILENT)
         except (Lost, TimeoutError):
             pass
         finally:
@@ -184,6 +202,24 @@
         silent = loop.time() - connection.heard > self._silent()
         self._become(PeerState.SILENT if silent else PeerState.DIALLING)
 
+    def _connection(self, expected: Incarnation) -> RpcConnection:
+        return RpcConnection(
+            self._words.endpoint, self._serve, self._tasks, self._counters, self.name, expected
+        )
+
+    async def _greet(self, connection: RpcConnection) -> None:
+        """Learn who is there, and say hello to it."""
+        async with asyncio.timeout(CONNECT):
+            self._met = await connection.established()
+            self._earlier = 0
+            asked_at = asyncio.get_running_loop().time()
+            told = await connection.ask("hello", self._words.hello()).answer
+        self.confirmed_at = asked_at
+        self.connection = connection
+        self._words.greeted(self, told)
+        self._failed = 0
+        self._become(PeerState.UP)
+
     def _silent(self) -> float:
         """Seconds without a word after which a link is given up."""
         return MISSED * self._words.every() + SLACK
@@ -192,7 +228,7 @@
         loop = asyncio.get_running_loop()
         while not connection.closed and loop.time() - connection.heard <= self._silent():
             answered = functools.partial(self._beaten, loop.time())
-            connection.ask("beat", self._words.beat()).add_done_callback(answered)
+            connection.ask("beat", self._words.beat()).answer.add_done_callback(answered)
             self.last_up = connection.heard
             try:
                 async with asyncio.timeout(self._words.every()):
--- /dev/null
+++ b/tests/cluster/rpc_support.py
@@ -0,0 +1,228 @@
+"""A caller, a receiver and what lies between them, on a virtual network."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from emberlatch.cluster.rpc import (
+    ANYONE,
+    Incarnation,
+    LocalEndpoint,
+    Peer,
+    RpcConnection,
+    RpcServer,
+    TrafficCounters,
+)
+from emberlatch.cluster.rpc.frames import VERSION, Frame, FrameReader, Greeting, Request, encode
+from emberlatch.engine import Machine, Tasks
+from emberlatch.faults.loop import Process, VirtualLoop, current
+from emberlatch.faults.network import Network
+
+RECEIVER = ("receiver", 1)
+RELAY = ("relay", 1)
+CALLER_LIFE, RECEIVER_LIFE = 3, 5
+
+
+def nothing_served(connection: RpcConnection, method: str, payload: Any) -> Any:
+    raise ValueError(f"{method}: nothing is served here")
+
+
+class World:
+    """A loop, a network and the machines on it."""
+
+    def __init__(self) -> None:
+        self.loop = VirtualLoop()
+        self.network = Network(self.loop, 1)
+        self.machine = Machine(wall=self.loop.time, boot=lambda: "", listen=self.network.listen)
+
+    def caller_endpoint(self) -> LocalEndpoint:
+        return LocalEndpoint(Incarnation("caller", CALLER_LIFE))
+
+    async def connect(
+        self,
+        endpoint: LocalEndpoint,
+        counters: TrafficCounters,
+        address: tuple[str, int] = RECEIVER,
+        expected: Incarnation = ANYONE,
+    ) -> RpcConnection:
+        """A connection that is up; ForeignPeer or Lost."""
+        connection: RpcConnection
+        _, connection = await self.loop.create_connection(
+            lambda: RpcConnection(endpoint, nothing_served, Tasks(), counters, "receiver", expected), *address
+        )
+        await connection.established()
+        return connection
+
+
+class Receiver:
+    """A served process that notes what runs on it. Payloads come back as they are, after `pause` seconds."""
+
+    def __init__(self, world: World, node: str = "receiver", life: int = RECEIVER_LIFE) -> None:
+        self.world, self.ran, self.pause = world, list[Any](), 0.0
+        self.counters, self.process = TrafficCounters(), Process(node)
+        self.endpoint = LocalEndpoint(Incarnation(node, life))
+
+        def listen() -> None:
+            current.set(self.process)
+            self.server = RpcServer(
+                world.machine, RECEIVER, self.endpoint, self._serve, Tasks(), self.counters
+            )
+
+        contextvars.copy_context().run(listen)
+
+    def _serve(self, connection: RpcConnection, method: str, payload: Any) -> Any:
+        if method in ("hello", "beat"):
+            return None
+        self.ran.append(payload)
+        return self._later(payload) if self.pause else payload
+
+    async def _later(self, payload: Any) -> Any:
+        await asyncio.sleep(self.pause)
+        return payload
+
+
+class ScriptedReceiver(asyncio.Protocol):
+    """The far end of one connection, which answers what a test tells it to."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, node: str = "receiver", life: int = RECEIVER_LIFE) -> None:
+        self.incarnation, self._reader = Incarnation(node, life), FrameReader()
+        self.frames: list[Frame] = []
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+
+    def data_received(self, data: bytes) -> None:
+        for frame in self._reader.feed(data):
+            self.frames.append(frame)
+            if isinstance(frame, Greeting):
+                me = self.incarnation
+                self.send(Greeting(VERSION, me.node, me.life, frame.node, frame.life))
+
+    def send(self, *frames: Frame) -> None:
+        """In one piece."""
+        self.transport.write(b"".join(map(encode, frames)))
+
+    def requests(self) -> list[Request]:
+        return [frame for frame in self.frames if isinstance(frame, Request)]
+
+
+class ScriptedCaller(ScriptedReceiver):
+    """The dialling end of one connection, which sends what a test tells it to."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        me = self.incarnation
+        self.send(Greeting(VERSION, me.node, me.life, "", 0))
+
+    def data_received(self, data: bytes) -> None:
+        self.frames += self._reader.feed(data)
+
+
+class Relay:
+    """Passes on so many bytes of each direction behind the greetings, then resets both sides."""
+
+    def __init__(self, world: World, to_receiver: int | None, to_caller: int | None) -> None:
+        self.world, self.limits = world, {"up": to_receiver, "down": to_caller}
+        self.passed = {"up": bytearray(), "down": bytearray()}
+        self.ends: dict[str, _RelayEnd] = {}
+        world.network.serve(lambda: _RelayEnd(self, "up"), RELAY)
+
+    async def dial(self, end: _RelayEnd) -> None:
+        down = _RelayEnd(self, "down")
+        self.ends["up"], self.ends["down"] = end, down
+        await self.world.loop.create_connection(lambda: down, *RECEIVER)
+        end.pump()
+
+    def cut(self) -> None:
+        for end in self.ends.values():
+            end.transport.abort()
+
+
+class _RelayEnd(asyncio.Protocol):
+    """Reads one direction and writes it to the other end."""
+
+    transport: asyncio.Transport
+
+    def __init__(self, relay: Relay, way: str) -> None:
+        self.relay, self.way, self._held = relay, way, bytearray()
+        self._greeting = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.way == "up":
+            self.relay.world.loop.create_task(self.relay.dial(self))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.relay.cut()
+
+    def data_received(self, data: bytes) -> None:
+        self._held += data
+        self.pump()
+
+    def pump(self) -> None:
+        other = self.relay.ends.get("down" if self.way == "up" else "up")
+        if other is None or not hasattr(other, "transport"):
+            return
+        if self._greeting and len(self._held) >= 4:
+            size = 4 + int.from_bytes(self._held[:4], "big")
+            other.transport.write(bytes(self._held[:size]))
+            del self._held[:size]
+            self._greeting = False
+        limit, passed = self.relay.limits[self.way], self.relay.passed[self.way]
+        if self._greeting or not self._held:
+            return
+        data = bytes(self._held if limit is None else self._held[: max(0, limit - len(passed))])
+        arrived = bool(self._held)
+        self._held.clear()
+        passed += data
+        other.transport.write(data)
+        if limit is not None and arrived and len(passed) >= limit:
+            # What was passed on arrives ahead of the reset.
+            self.relay.world.network.after(0.1, self.relay.cut)
+
+
+class QuietWords:
+    """A process that has nothing to say on its links."""
+
+    def __init__(self, endpoint: LocalEndpoint) -> None:
+        self.endpoint = endpoint
+
+    def hello(self) -> Any:
+        return None
+
+    def greeted(self, peer: Peer, told: Any) -> None:
+        pass
+
+    def every(self) -> float:
+        return 0.4
+
+    def beat(self) -> Any:
+        return None
+
+    def beaten(self, peer: Peer, told: Any) -> None:
+        pass
+
+    def changed(self, peer: Peer) -> None:
+        pass
+
+
+def play(scene: Callable[[World], Awaitable[None]]) -> None:
+    """Run a scene on its own world; nothing may have died in it unseen."""
+    world = World()
+
+    async def whole() -> None:
+        await scene(world)
+
+    world.loop.run_until_complete(world.loop.create_task(whole()))
+    assert not world.loop.failures, str(world.loop.failures)
--- /dev/null
+++ b/tests/cluster/test_rpc.py
@@ -0,0 +1,552 @@
+"""An answer belongs to the call that asked, and a call is sent once."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import cbor2
+from ward import raises, test
+
+from emberlatch.cluster.rpc import (
+    ANYONE,
+    ForeignPeer,
+    Incarnation,
+    LocalEndpoint,
+    Lost,
+    Peer,
+    PeerState,
+    Stray,
+    TrafficCounters,
+)
+from emberlatch.cluster.rpc.dedupe import (
+    MAX_ANSWER_BYTES,
+    MAX_BYTES,
+    MAX_CALLS,
+    REMEMBERED_S,
+    CallKey,
+    CompletedCalls,
+    Repeat,
+)
+from emberlatch.cluster.rpc.frames import (
+    MAX_FRAME_BYTES,
+    VERSION,
+    Failure,
+    Frame,
+    FrameError,
+    FrameReader,
+    Greeting,
+    Notice,
+    Request,
+    Response,
+    encode,
+)
+from emberlatch.cluster.rpc.peer import EARLIER_LIVES
+from emberlatch.engine import Tasks
+from tests.cluster.rpc_support import (
+    CALLER_LIFE,
+    RECEIVER,
+    RECEIVER_LIFE,
+    RELAY,
+    QuietWords,
+    Receiver,
+    Relay,
+    ScriptedCaller,
+    ScriptedReceiver,
+    World,
+    nothing_served,
+    play,
+)
+
+LIVES = CALLER_LIFE, RECEIVER_LIFE
+
+FRAMES: list[Frame] = [
+    Greeting(VERSION, "a", 1, "", 0),
+    Request(1, 2, 3, "take", {"body": b"x" * 300}),
+    Response(1, 2, 3, [True, None]),
+    Failure(1, 2, 3, "why"),
+    Notice("beat", None),
+]
+
+
+async def outcome(answer: asyncio.Future[Any]) -> Any:
+    """The answer, or the Lost in its place."""
+    try:
+        return await answer
+    except Lost as lost:
+        return lost
+
+
+@test("each frame comes back, in pieces of any size")
+def _() -> None:
+    data = b"".join(map(encode, FRAMES))
+    for size in (1, 2, 3, 7, 64, len(data)):
+        reader, found = FrameReader(), list[Frame]()
+        for at in range(0, len(data), size):
+            found += reader.feed(data[at : at + size])
+        assert found == FRAMES
+
+
+def rubbish() -> list[bytes]:
+    """Bytes that are no frame, or none that may come."""
+    bodies = [
+        b"", b"\xff", b"\x9f", cbor2.dumps(7), cbor2.dumps([]), cbor2.dumps({}), cbor2.dumps([9, 1]),
+        cbor2.dumps(["1", 1, 2, 3, "x", None]), cbor2.dumps([True, 1, 2, 3, "x", None]),
+        cbor2.dumps([1, 1, 2, 3, "x"]), cbor2.dumps([1, -1, 2, 3, "x", None]),
+        cbor2.dumps([1, 1, 2, 3, b"x", None]), cbor2.dumps([2, "1", 2, 3, None]),
+        cbor2.dumps([2, 1, 2.5, 3, None]), cbor2.dumps([3, 1, 2, 3, None]), cbor2.dumps([4, "x"]),
+        cbor2.dumps([0, VERSION, "a", 1, "", None]), cbor2.dumps([[1], 1, 2, 3, "x", None]),
+    ]  # fmt: skip
+    framed = [len(body).to_bytes(4, "big") + body for body in bodies]
+    return [*framed, (MAX_FRAME_BYTES + 1).to_bytes(4, "big")]
+
+
+@test("what is no frame is an error")
+def _() -> None:
+    for data in rubbish():
+        with raises(FrameError):
+            list(FrameReader().feed(data))
+
+
+@test("random bytes are frames or errors, and nothing else")
+def _() -> None:
+    chance = random.Random(5)
+    for _ in range(3000):
+        body = chance.randbytes(chance.randrange(24))
+        try:
+            list(FrameReader().feed(len(body).to_bytes(4, "big") + body))
+        except FrameError:
+            continue
+
+
+@test("a frame that can't be read costs its sender the connection, and no other caller anything")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = Receiver(world)
+        receiver.pause = 1.0
+        sound = await world.connect(world.caller_endpoint(), TrafficCounters())
+        call = sound.ask("echo", "mine")
+        early = [encode(Request(1, 1, RECEIVER_LIFE, "echo", 1)), encode(Response(1, 1, 1, 1))]
+        again = encode(Greeting(VERSION, "x", 1, "", 0)) * 2
+        other = encode(Greeting(VERSION + 1, "x", 1, "", 0))
+        for data in [*rubbish(), *early, again, other]:
+            _, bad = await world.loop.create_connection(ScriptedReceiver, *RECEIVER)
+            bad.transport.write(data)
+            await asyncio.sleep(0.01)
+            assert bad.lost, repr(data)
+        assert await call.answer == "mine" and receiver.ran == ["mine"]
+
+    play(scene)
+
+
+@test("a dialler that reaches another node, or an earlier life, closes before it sends anything else")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = ScriptedReceiver()
+        world.network.serve(lambda: receiver, RECEIVER)
+        for expected in (Incarnation("other", 0), Incarnation("receiver", RECEIVER_LIFE + 1)):
+            receiver.__init__()  # type: ignore[misc]
+            counters = TrafficCounters()
+            with raises(ForeignPeer) as foreign:
+                await world.connect(world.caller_endpoint(), counters, expected=expected)
+            assert foreign.raised.found == Incarnation("receiver", RECEIVER_LIFE)
+            await asyncio.sleep(0.1)
+            (greeting,) = receiver.frames
+            assert isinstance(greeting, Greeting) and receiver.lost
+            assert counters.dropped(Stray.FOREIGN_PEER) == 1
+        for expected in (ANYONE, Incarnation("receiver", RECEIVER_LIFE), Incarnation("receiver", 1)):
+            receiver.__init__()  # type: ignore[misc]
+            connection = await world.connect(world.caller_endpoint(), TrafficCounters(), expected=expected)
+            assert connection.remote == Incarnation("receiver", RECEIVER_LIFE)
+
+    play(scene)
+
+
+@test("a process that is taken for another says who it is, and closes")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = Receiver(world)
+        _, caller = await world.loop.create_connection(ScriptedReceiver, *RECEIVER)
+        greeting = Greeting(VERSION, "caller", CALLER_LIFE, "other", 0)
+        caller.send(greeting, Request(1, *LIVES, "echo", "x"))
+        await asyncio.sleep(0.1)
+        (told,) = caller.frames
+        assert (told.node, told.life) == ("receiver", RECEIVER_LIFE)
+        assert caller.lost and not receiver.ran
+        assert receiver.counters.dropped(Stray.FOREIGN_PEER) == 1
+
+    play(scene)
+
+
+@test("the numbers of requests are never used again, also on another connection")
+def _() -> None:
+    async def scene(world: World) -> None:
+        Receiver(world)
+        endpoint, numbers = world.caller_endpoint(), list[int]()
+        for _ in range(3):
+            connection = await world.connect(endpoint, TrafficCounters())
+            calls = [connection.ask("echo", n) for n in range(5)]
+            assert [await call.answer for call in calls] == list(range(5))
+            numbers += [call.number for call in calls]
+            connection.close()
+        assert len(set(numbers)) == 15 and numbers == sorted(numbers)
+
+    play(scene)
+
+
+@test("reset at every byte of a request: lost, perhaps sent, and it ran once if all of it came, else never")
+def _() -> None:
+    whole = len(encode(Request(1, *LIVES, "take", "payload")))
+    ran_at = set[int]()
+    for cut in range(whole + 1):
+
+        async def scene(world: World, cut: int = cut) -> None:
+            receiver = Receiver(world)
+            receiver.pause = 1.0
+            Relay(world, cut, None)
+            endpoint = world.caller_endpoint()
+            other = await world.connect(endpoint, TrafficCounters())
+            beside = other.ask("take", "beside")
+            connection = await world.connect(endpoint, TrafficCounters(), RELAY)
+            lost = await outcome(connection.ask("take", "payload").answer)
+            assert isinstance(lost, Lost) and lost.sent, str(cut)
+            assert await beside.answer == "beside"
+            await asyncio.sleep(5.0)
+            assert receiver.ran.count("payload") <= 1 and receiver.ran.count("beside") == 1
+            if "payload" in receiver.ran:
+                ran_at.add(cut)
+
+        play(scene)
+    assert ran_at == {whole}
+
+
+@test("reset at every byte of an answer: lost unless all of it came, ran once, and nobody else gets it")
+def _() -> None:
+    whole = len(encode(Response(1, *LIVES, "payload")))
+    answered_at = set[int]()
+    for cut in range(whole + 1):
+
+        async def scene(world: World, cut: int = cut) -> None:
+            receiver = Receiver(world)
+            receiver.pause = 0.5
+            Relay(world, None, cut)
+            endpoint = world.caller_endpoint()
+            other = await world.connect(endpoint, TrafficCounters())
+            connection = await world.connect(endpoint, TrafficCounters(), RELAY)
+            call, beside = connection.ask("take", "payload"), other.ask("take", "beside")
+            found = await outcome(call.answer)
+            if found == "payload":
+                answered_at.add(cut)
+            else:
+                assert isinstance(found, Lost) and found.sent, str(cut)
+            assert await beside.answer == "beside"
+            await asyncio.sleep(5.0)
+            assert sorted(receiver.ran) == ["beside", "payload"]
+
+        play(scene)
+    assert answered_at == {whole}
+
+
+@test(
+    "what waits behind a receiver that does not read is surely not sent: at a reset, and when it is given up"
+)
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = ScriptedReceiver()
+        world.network.serve(lambda: receiver, RECEIVER)
+        connection = await world.connect(world.caller_endpoint(), TrafficCounters())
+        receiver.transport.pause_reading()
+        long = connection.ask("take", b"x" * 1_000_000)
+        await asyncio.sleep(0.1)
+        given_up, waiting = connection.ask("take", "given up"), connection.ask("take", "waiting")
+        assert not connection.abandon(given_up)
+        assert connection.abandon(long)
+        receiver.transport.resume_reading()
+        await asyncio.sleep(1.0)
+        assert [request.number for request in receiver.requests()] == [long.number, waiting.number]
+        receiver.transport.pause_reading()
+        long = connection.ask("take", b"x" * 1_000_000)
+        await asyncio.sleep(0.1)
+        behind = connection.ask("take", "behind")
+        receiver.transport.abort()
+        sent = [(await outcome(call.answer)).sent for call in (waiting, long, behind)]
+        assert sent == [True, True, False]
+        assert not (await outcome(connection.ask("take", "after").answer)).sent
+
+    play(scene)
+
+
+async def scripted(world: World) -> tuple[ScriptedReceiver, Any, TrafficCounters]:
+    """A connection to a receiver that a test speaks for."""
+    receiver, counters = ScriptedReceiver(), TrafficCounters()
+    world.network.serve(lambda: receiver, RECEIVER)
+    return receiver, await world.connect(world.caller_endpoint(), counters), counters
+
+
+@test("answers in another order reach those who asked")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver, connection, counters = await scripted(world)
+        calls = [connection.ask("take", n) for n in range(20)]
+        await asyncio.sleep(0.1)
+        requests = receiver.requests()
+        random.Random(3).shuffle(requests)
+        receiver.send(*(Response(r.number, *LIVES, r.payload) for r in requests))
+        assert [await call.answer for call in calls] == list(range(20))
+        assert not counters.strays and not connection.closed
+
+    play(scene)
+
+
+@test("an answer that comes late is dropped and counted; the next call gets its own")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver, connection, counters = await scripted(world)
+        early = connection.ask("take", "early")
+        await asyncio.sleep(0.1)
+        assert connection.abandon(early) and connection.lag() > 0
+        later = connection.ask("take", "later")
+        await asyncio.sleep(0.1)
+        receiver.send(Response(early.number, *LIVES, "early"))
+        await asyncio.sleep(0.1)
+        assert counters.dropped(Stray.LATE_ANSWER) == 1 and not later.answer.done()
+        receiver.send(Response(later.number, *LIVES, "later"))
+        assert await later.answer == "later" and not connection.closed
+
+    play(scene)
+
+
+@test("a doubled answer, one to a call that was never asked, and one of other lives close the connection")
+def _() -> None:
+    strays = {
+        "doubled": Stray.REPEATED_ANSWER,
+        "never asked": Stray.FOREIGN_ANSWER,
+        "another caller's": Stray.FOREIGN_ANSWER,
+        "another receiver's": Stray.FOREIGN_ANSWER,
+    }
+    for name, stray in strays.items():
+
+        async def scene(world: World, name: str = name, stray: Stray = stray) -> None:
+            receiver, connection, counters = await scripted(world)
+            first, second = connection.ask("take", "first"), connection.ask("take", "second")
+            await asyncio.sleep(0.1)
+            receiver.send(Response(first.number, *LIVES, "first"))
+            assert await first.answer == "first"
+            frames: dict[str, Frame] = {
+                "doubled": Response(first.number, *LIVES, "first"),
+                "never asked": Response(second.number + 1, *LIVES, "x"),
+                "another caller's": Response(second.number, CALLER_LIFE - 1, RECEIVER_LIFE, "x"),
+                "another receiver's": Failure(second.number, CALLER_LIFE, RECEIVER_LIFE - 1, "x"),
+            }
+            receiver.send(frames[name], Response(second.number, *LIVES, "second"))
+            lost = await outcome(second.answer)
+            assert isinstance(lost, Lost) and lost.sent, name
+            await asyncio.sleep(0.1)
+            assert connection.closed and receiver.lost
+            assert counters.strays == {("receiver", stray): 1}
+
+        play(scene)
+
+
+@test("a request that comes twice, on one connection or on two, runs once if it must")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = Receiver(world)
+        callers = []
+        for _ in range(2):
+            _, caller = await world.loop.create_connection(
+                lambda: ScriptedCaller("caller", CALLER_LIFE), *RECEIVER
+            )
+            await asyncio.sleep(0.1)
+            callers.append(caller)
+        request = Request(7, *LIVES, "take", "x")
+        callers[0].send(request, request)
+        await asyncio.sleep(0.1)
+        callers[1].send(request)
+        await asyncio.sleep(0.1)
+        assert receiver.ran == ["x"]
+        assert receiver.counters.dropped(Stray.REPEATED_REQUEST) == 2
+        answers = [f for caller in callers for f in caller.frames if isinstance(f, Response)]
+        assert answers == [Response(7, *LIVES, "x")] * 3
+        callers[0].send(Request(8, *LIVES, "take", "y"), Request(9, *LIVES, "state", "z"))
+        callers[0].send(Request(9, *LIVES, "state", "z"))
+        await asyncio.sleep(0.1)
+        assert receiver.ran == ["x", "y", "z", "z"]
+
+    play(scene)
+
+
+@test("a repeat of a call that still runs does not run, and is answered where it was asked first")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = Receiver(world)
+        receiver.pause = 1.0
+        _, caller = await world.loop.create_connection(
+            lambda: ScriptedCaller("caller", CALLER_LIFE), *RECEIVER
+        )
+        await asyncio.sleep(0.1)
+        caller.send(*[Request(7, *LIVES, "take", "x")] * 3)
+        await asyncio.sleep(2.0)
+        assert receiver.ran == ["x"]
+        assert [f for f in caller.frames if isinstance(f, Response)] == [Response(7, *LIVES, "x")]
+
+    play(scene)
+
+
+@test("a request to or from another life does not run and costs the connection")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver = Receiver(world)
+        for lives in ((CALLER_LIFE, RECEIVER_LIFE - 1), (CALLER_LIFE - 1, RECEIVER_LIFE)):
+            _, caller = await world.loop.create_connection(
+                lambda: ScriptedCaller("caller", CALLER_LIFE), *RECEIVER
+            )
+            await asyncio.sleep(0.1)
+            caller.send(Request(7, *lives, "state", "x"))
+            await asyncio.sleep(0.1)
+            assert caller.lost
+        assert not receiver.ran and receiver.counters.dropped(Stray.FOREIGN_REQUEST) == 2
+
+    play(scene)
+
+
+@test("calls that ran are remembered within bounds of number, bytes and time")
+def _() -> None:
+    calls = CompletedCalls()
+    for number in range(MAX_CALLS + 10):
+        assert calls.begin(CallKey("a", 1, number), 0.0) is None
+    assert len(calls) == MAX_CALLS
+    assert calls.begin(CallKey("a", 1, 10), 1.0) == Repeat(None)
+    calls.finish(CallKey("a", 1, 10), b"answer")
+    calls.finish(CallKey("a", 1, 10), b"another")
+    calls.finish(CallKey("a", 1, 11), b"x" * (MAX_ANSWER_BYTES + 1))
+    assert calls.begin(CallKey("a", 1, 10), 1.0) == Repeat(b"answer")
+    assert calls.begin(CallKey("a", 1, 11), 1.0) == Repeat(None)
+    assert calls.begin(CallKey("a", 2, 10), REMEMBERED_S + 0.1) is None and len(calls) == 1
+    for number in range(MAX_BYTES // MAX_ANSWER_BYTES + 20):
+        calls.begin(CallKey("b", 1, number), REMEMBERED_S + 0.2)
+        calls.finish(CallKey("b", 1, number), b"x" * MAX_ANSWER_BYTES)
+    assert len(calls) * MAX_ANSWER_BYTES <= MAX_BYTES
+
+
+def dialled(world: World, counters: TrafficCounters, name: str = "receiver") -> Peer:
+    words = QuietWords(world.caller_endpoint())
+    return Peer(name, RECEIVER, nothing_served, Tasks(), words, counters)
+
+
+async def up(peer: Peer, seconds: float = 10.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not peer.up:
+            await asyncio.sleep(0.02)
+
+
+@test("a receiver that stands still longer than any timer: its answer reaches nobody, and the call ran once")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver, counters = Receiver(world), TrafficCounters()
+        receiver.pause = 0.2
+        peer = dialled(world, counters)
+        await up(peer)
+        before = asyncio.create_task(peer.ask("take", "before", 0.5))
+        await asyncio.sleep(0.1)  # it has come and is being served
+        receiver.process.stop()
+        during = asyncio.create_task(peer.ask("take", "during", 0.5))
+        for task in (before, during):
+            with raises(Lost) as lost:
+                await task
+            assert lost.raised.sent
+        await asyncio.sleep(60.0)
+        assert not peer.up
+        with raises(Lost) as refused:
+            await peer.ask("take", "cut off", 0.5)
+        assert not refused.raised.sent
+        receiver.process.go_on(world.loop)
+        await up(peer)
+        answers = [await peer.ask("take", n, 2.0) for n in range(3)]
+        assert answers == [0, 1, 2]
+        await asyncio.sleep(10.0)
+        assert receiver.ran.count("before") == 1 and receiver.ran.count("during") <= 1
+        assert "cut off" not in receiver.ran
+        peer.close()
+
+    play(scene)
+
+
+@test("a short stand-still: the late answer is dropped on a link that stays, and later calls get theirs")
+def _() -> None:
+    async def scene(world: World) -> None:
+        receiver, counters = Receiver(world), TrafficCounters()
+        peer = dialled(world, counters)
+        await up(peer)
+        receiver.process.stop()
+        with raises(Lost) as lost:
+            await peer.ask("take", "late", 0.3)
+        assert lost.raised.sent
+        later = asyncio.create_task(peer.ask("take", "later", 2.0))
+        await asyncio.sleep(0.1)
+        receiver.process.go_on(world.loop)
+        assert await later == "later" and receiver.ran == ["late", "later"]
+        assert counters.dropped(Stray.LATE_ANSWER) == 1 and peer.up
+        peer.close()
+
+    play(scene)
+
+
+@test("a link whose address belongs to another node now stays down; its own node's next life brings it up")
+def _() -> None:
+    async def scene(world: World) -> None:
+        counters = TrafficCounters()
+        first = Receiver(world)
+        peer = dialled(world, counters)
+        await up(peer)
+        first.process.kill()
+        other = Receiver(world, "other", 99)
+        await asyncio.sleep(5.0)
+        assert peer.state is PeerState.SILENT and not other.ran
+        assert counters.dropped(Stray.FOREIGN_PEER) > 5
+        other.process.kill()
+        Receiver(world, "receiver", RECEIVER_LIFE + 1)
+        await up(peer)
+        peer.close()
+
+    play(scene)
+
+
+@test("an earlier life is not believed at once; after some dials it is, for a clock may have been set back")
+def _() -> None:
+    async def scene(world: World) -> None:
+        counters = TrafficCounters()
+        first = Receiver(world)
+        peer = dialled(world, counters)
+        await up(peer)
+        first.process.kill()
+        Receiver(world, "receiver", RECEIVER_LIFE - 1)
+        await asyncio.sleep(1.0)
+        assert not peer.up
+        await up(peer, 5.0)
+        assert counters.dropped(Stray.FOREIGN_PEER) == EARLIER_LIVES
+        peer.close()
+
+    play(scene)
+
+
+@test("a seed is any node; what it says is what it is dialled as from then on")
+def _() -> None:
+    assert Incarnation("a", 3).satisfies(ANYONE)
+    assert not Incarnation("a", 3).satisfies(Incarnation("a", 4))
+    assert not Incarnation("b", 9).satisfies(Incarnation("a", 4))
+
+    async def scene(world: World) -> None:
+        Receiver(world)
+        peer = dialled(world, TrafficCounters(), "seed receiver")
+        await up(peer)
+        peer.close()
+
+    play(scene)
+
+
+@test("an endpoint's numbers begin anew only with its life")
+def _() -> None:
+    endpoint = LocalEndpoint(Incarnation("a", 1))
+    assert [endpoint.next_number() for _ in range(3)] == [1, 2, 3]
