A target's answer counts only for the message that it names

Cause: a message that was tried again could go out on the connection that had carried it before; a second copy of the first attempt's 500 then counted as the answer to the second attempt, so that attempts were over-counted and a message could be declared dead early. A connection on which an answer to another message had come went on being used. And the deadline that a target was told began when the connection was up, though the sender counted from before: after a slow connect a target could still work on a message that the sender had given up.

Ruled out: closing at once on an answer to another message.

Change: Carrier's connections remember the last messages that they carried and take none of them again; after a foreign answer ours is still read, then the connection is closed. The deadline told is what is left of the guard. The older program's calls get two hooks that do nothing there. The simulated target repeats the attempt id, as the protocol has it.

--- a/emberlatch/cluster/dispatch/carrier.py
+++ b/emberlatch/cluster/dispatch/carrier.py
@@ -6,14 +6,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from emberlatch.cluster.dispatch.target_connection import TargetConnection, connect_to_target
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.message_store import Record
 from emberlatch.core.interface import Outcome, Result, Settings
 from emberlatch.engine import Tasks
 from emberlatch.net.calls import Call, Calls, Endpoint, seconds
-from emberlatch.net.http import Response
+from emberlatch.net.http import Connection, Response
 
-MOST_ANSWER = 4 * 1024 * 1024  # bytes; a longer one is none
+MAX_ANSWER_BYTES = 4 * 1024 * 1024  # a longer one is none
+ATTEMPT_ID = "emberlatch-attempt-id"  # the header by which an answer says whose it is
 
 
 class Verdict(Enum):
@@ -70,13 +72,22 @@
         """Another may have taken it over, and even ended it, while the connection came up."""
         return self._still(call.items[0].ref)
 
+    async def _connect(self, target: Endpoint) -> Connection:
+        return await connect_to_target(target.address, self._settings.connect_timeout, MAX_ANSWER_BYTES)
+
+    def _reusable(self, connection: Connection, call: Call) -> bool:
+        """A second answer to an earlier attempt of this message would pass for the answer to this one."""
+        return isinstance(connection, TargetConnection) and call.items[0].id not in connection.message_ids
+
     def _request(self, target: Endpoint, call: Call) -> bytes:
         parcel = self._parcel(call.items[0].ref, call.target)
+        # The target is to stop before we give up, however long the connection took to come up.
+        remaining = parcel.guard - call.age
         record, body = parcel.record, parcel.record.body or b""
         head = (
             f"{record.method} {record.path} HTTP/1.1\r\nHost: {record.host}\r\n"
             f"Emberlatch-Attempt-Id: {record.id}\r\n"
-            f"Emberlatch-Deadline-Ms: {max(1, round(parcel.guard * 1000))}\r\n"
+            f"Emberlatch-Deadline-Ms: {max(1, round(remaining * 1000))}\r\n"
         )
         if parcel.instance:
             head += f"Emberlatch-Expected-Instance: {parcel.instance}\r\n"
@@ -97,9 +108,24 @@
             result = Result.TIMEOUT
         call.settle_all(result, closed, hold)
 
-    def _ours(self, call: Call) -> Callable[[Response], bool] | None:
-        id = call.items[0].id
-        return lambda response: response.headers.get("emberlatch-attempt-id", id) == id
+    def _sending(self, connection: Connection, call: Call) -> None:
+        if isinstance(connection, TargetConnection):
+            connection.message_ids.append(call.items[0].id)
+
+    def _ours(self, call: Call) -> Callable[[Response], bool]:
+        """Each answer repeats the id of its message. One without any is taken for ours, as nothing else waits
+        on this connection."""
+        expected = call.items[0].id
+
+        def ours(response: Response) -> bool:
+            found = response.headers.get(ATTEMPT_ID, expected)
+            if found != expected:
+                log_event(
+                    Event.ANSWER_FOREIGN, call.target.decode(), f"expected={expected} found={found:.64}"
+                )
+            return found == expected
+
+        return ours
 
 
 def _verdict(status: int, seal: str, not_run: bool) -> Verdict:
--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -56,6 +56,7 @@
     ENDED_DEAD = 601
     ANSWER_ODD = 602
     MODULE_NOTE = 603
+    ANSWER_FOREIGN = 604
     REQUEST_FAILED = 701
 
 
@@ -187,6 +188,11 @@
     Event.RETIRE_DONE: (logging.INFO, "retired", "Nothing that counts stands on this machine alone."),
     Event.ENDED_DEAD: (logging.INFO, "dead letter", "A message can't be delivered; its status tells so."),
     Event.ANSWER_ODD: (logging.WARNING, "odd answer", "A target answered what the protocol does not know."),
+    Event.ANSWER_FOREIGN: (
+        logging.WARNING,
+        "foreign answer",
+        "A target sent an answer to another message; it was dropped, and the connection is not used again.",
+    ),
     Event.MODULE_NOTE: (logging.INFO, "delivery", "What the decision module has to say."),
     Event.REQUEST_FAILED: (
         logging.ERROR,
--- a/emberlatch/net/calls.py
+++ b/emberlatch/net/calls.py
@@ -189,6 +189,13 @@
         """Whether it is still to be sent, now that a connection is there."""
         return True
 
+    def _reusable(self, connection: Connection, call: Call) -> bool:
+        """Whether this call may go out on an idle connection."""
+        return True
+
+    def _sending(self, connection: Connection, call: Call) -> None:  # noqa: B027
+        """The call goes out on this connection now."""
+
     async def _connect(self, target: Endpoint) -> Connection:
         return await connect(target.address, self._settings.connect_timeout)
 
@@ -222,7 +229,7 @@
     async def _exchange(self, target: Endpoint, call: Call) -> Response | None:
         """The answer; None if there is nobody left to tell of it."""
         await self._prepare(target, call)
-        connection = self._idle_connection(target)
+        connection = self._idle_connection(target, call)
         if connection is None:
             self._make_room()
             self._tally.at(call.target, "connects")
@@ -240,6 +247,7 @@
             call.settle_all(Result.MOOT)
             return None
         call.items = list(call.pending)
+        self._sending(connection, call)
         answer = connection.exchange(self._request(target, call), self._ours(call))
         call.connection = connection
         at_once = connection.written
@@ -271,19 +279,25 @@
         now = asyncio.get_running_loop().time()
         return self._waits.get(self._bound(target), now) <= now < target.shut_from
 
-    def _idle_connection(self, target: Endpoint) -> Connection | None:
+    def _idle_connection(self, target: Endpoint, call: Call) -> Connection | None:
         """The most recently used one; none that the target may be closing right now."""
         oldest = asyncio.get_running_loop().time() - max(self._settings.connection_idle - IDLE_MARGIN, 0.0)
-        while target.idle:
-            connection = self._take_idle(target)
-            if connection.idle_since > oldest and connection.usable:
+        for connection in reversed(target.idle.copy()):
+            if not (connection.idle_since > oldest and connection.usable):
+                self._remove_idle(target, connection)
+                connection.close()
+            elif self._reusable(connection, call):
+                self._remove_idle(target, connection)
                 return connection
-            connection.close()
         return None
 
-    def _take_idle(self, target: Endpoint) -> Connection:
-        connection = target.idle.pop()
+    def _remove_idle(self, target: Endpoint, connection: Connection) -> None:
+        target.idle.remove(connection)
         del self._used[connection]
+
+    def _take_idle(self, target: Endpoint) -> Connection:
+        connection = target.idle[-1]
+        self._remove_idle(target, connection)
         return connection
 
     def _keep(self, target: Endpoint, connection: Connection) -> None:
@@ -292,8 +306,7 @@
         if self._targets.get(target.entry.target) is not target or target.gone:
             return connection.close()
         for other in [other for other in target.idle if other.closed]:
-            target.idle.remove(other)
-            del self._used[other]
+            self._remove_idle(target, other)
         connection.idle_since = asyncio.get_running_loop().time()
         target.idle.append(connection)
         self._used[connection] = target
@@ -302,8 +315,7 @@
         """Before a new connection: with those of calls and the idle ones no more than allowed."""
         while self._used and self._out + len(self._used) > self._most:
             connection, target = next(iter(self._used.items()))
-            target.idle.remove(connection)
-            del self._used[connection]
+            self._remove_idle(target, connection)
             connection.close()
 
 
@@ -320,6 +332,11 @@
         self.late: list[Item] = []  # timed out while the call goes on for others: its answer may still say ok
         self._report = report
 
+    @property
+    def age(self) -> float:
+        """Seconds since it was started."""
+        return asyncio.get_running_loop().time() - self._started
+
     async def wait_for(self, step: asyncio.Future[Any], written: Callable[[], bool]) -> None:
         """Wait until a step is done; messages whose time is up before have their outcome then."""
         loop, self._step = asyncio.get_running_loop(), step
--- a/emberlatch/simulation/actors.py
+++ b/emberlatch/simulation/actors.py
@@ -177,6 +177,7 @@
 
     def _answer(self, connection: TargetConnection, status: int, seal: str, not_run: bool) -> None:
         head = f"HTTP/1.1 {status} {REASON[status]}\r\nContent-Length: 0\r\nKeep-Alive: timeout=10\r\n"
+        head += f"Emberlatch-Attempt-Id: {connection.headers.get('emberlatch-attempt-id', '')}\r\n"
         head += f"Emberlatch-Server-Seal: {seal}\r\n" if seal else ""
         head += "Emberlatch-Not-Executed: 1\r\n" if not_run else ""
         connection.transport.write(head.encode() + b"\r\n")
