A damaged disk does not come back under its old identity after a cut-off start

Cause: create() removed the vote first and wrote the identity last. Cut off between, a machine whose vote could not be read came back as the same voter without its promises. Ruled out: to believe the identity only with a vote beside it, since a voter that never voted has none. Change: the old identity goes first, synced, then the vote, then the new files come.

--- a/emberlatch/cluster/consensus/storage.py
+++ b/emberlatch/cluster/consensus/storage.py
@@ -20,7 +20,7 @@
     proposal_to_wire,
 )
 from emberlatch.cluster.consensus.state import ControlState, Voter
-from emberlatch.cluster.files import write_synced
+from emberlatch.cluster.files import sync_folder, write_synced
 
 IDENTITY, STATE, VOTE = "identity.cbor", "state.cbor", "vote.cbor"
 
@@ -70,7 +70,9 @@
 
         `seat` is this machine's address if it takes part in the founding.
         """
-        (self._folder / VOTE).unlink(missing_ok=True)
+        for name in (IDENTITY, VOTE):  # first of all nobody is here any more: the rest may be cut off
+            (self._folder / name).unlink(missing_ok=True)
+            sync_folder(self._folder)
         identity = secrets.token_hex(8)
         write_synced(self._folder / STATE, cbor2.dumps(state.to_wire()))
         write_synced(self._folder / IDENTITY, cbor2.dumps([identity, seat]))
