A write of the register ends before the next begins, though its caller was cancelled

Cause: confirm_held and other calls with a time limit cancel what they wait for, a write by a thread among it. The lock was let go while the thread went on, so an older state could be put over a newer one; with a vote beside it for a version the old state lacks, the disk counts as lost at the next start. Ruled out: to shield each caller, as the next one would forget it. Change: _keep waits until the write has ended, notes what is on disk, and only then passes the cancellation on.

--- a/emberlatch/cluster/consensus/register.py
+++ b/emberlatch/cluster/consensus/register.py
@@ -36,6 +36,29 @@
 """Hears a reply; what that voter is asked beside before it is asked again, if anything."""
 
 
+async def _until_done(writing: asyncio.Future[None]) -> bool:
+    """Wait until a write has ended, also if this is cancelled meanwhile, which is told.
+
+    A write can't be taken back: the next one may not overtake it.
+    """
+    cancelled = False
+    while not writing.done():
+        try:
+            await asyncio.wait({writing})
+        except asyncio.CancelledError:
+            cancelled = True
+    return cancelled
+
+
+def _disk_error(writing: asyncio.Future[None]) -> OSError | None:
+    """How a write that has ended failed; None if it did not. Any other error is raised."""
+    try:
+        writing.result()
+    except OSError as error:
+        return error
+    return None
+
+
 class ControlRegister:
     """See the module. `disks` are the synced copies that a decision must have."""
 
@@ -99,15 +122,18 @@
         before, storage = self._record, self._storage
         assert before is not None and storage is not None
         durable = replace(record, last_batch=None)
-        if durable != replace(before, last_batch=None):
-            try:
-                await self._offload(lambda: storage.write(durable))
-            except OSError as error:
-                self._disk_is(error)
-                return False
-            self._disk_is(None)
-        self._record = record
-        return True
+        if durable == replace(before, last_batch=None):
+            self._record = record
+            return True
+        writing = asyncio.ensure_future(self._offload(lambda: storage.write(durable)))
+        cancelled = await _until_done(writing)
+        error = _disk_error(writing)
+        self._disk_is(error)
+        if error is None:
+            self._record = record
+        if cancelled:
+            raise asyncio.CancelledError
+        return error is None
 
     def _disk_is(self, error: OSError | None) -> None:
         """The one place in which the disk's condition changes."""
--- /dev/null
+++ b/tests/simulation/test_register_disk.py
@@ -0,0 +1,93 @@
+"""A machine's record on its disk, where writes are cut off or whoever waits for them is called away."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from emberlatch.cluster.consensus import storage as storage_module
+from emberlatch.cluster.consensus.acceptor import AcceptorRecord
+from emberlatch.cluster.consensus.links import Unreachable
+from emberlatch.cluster.consensus.register import ControlRegister
+from emberlatch.cluster.consensus.state import ControlState, Voter
+from emberlatch.cluster.consensus.storage import VOTE, RecordStorage
+
+
+def test_a_damaged_disk_stays_lost_if_its_new_identity_is_cut_off(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its vote can't be read: the old identity may not come back without it, whatever is cut off."""
+    RecordStorage(tmp_path, "a").create(ControlState(version=4), None)
+    (tmp_path / VOTE).write_bytes(b"\xff damaged")
+    again = RecordStorage(tmp_path, "a")
+    assert again.load() is None
+
+    def cut_off(path: Path, raw: bytes) -> None:
+        raise OSError("no power")
+
+    monkeypatch.setattr(storage_module, "write_synced", cut_off)
+    with pytest.raises(OSError, match="no power"):
+        again.create(ControlState(), None)
+    assert RecordStorage(tmp_path, "a").load() is None
+
+
+class NoLinks:
+    """Nobody else is there."""
+
+    def nodes(self) -> Iterable[str]:
+        return ()
+
+    def node_of(self, voter: Voter) -> str | None:
+        return None
+
+    def lost(self, voters: Iterable[Voter]) -> frozenset[Voter]:
+        return frozenset()
+
+    async def ask(self, node: str, request: list[Any], timeout: float) -> Any:
+        raise Unreachable(node)
+
+
+class SlowDisk:
+    """Its writes go on in a thread, whoever waits for them; each takes longer than the next."""
+
+    def __init__(self) -> None:
+        self.written: list[int] = []
+        self._seconds = 0.2
+
+    def write(self, record: AcceptorRecord) -> None:
+        self.written.append(record.state.version)
+
+    async def offload(self, work: Callable[[], None]) -> None:
+        self._seconds /= 2
+        done = asyncio.get_running_loop().create_future()
+
+        def finish() -> None:
+            work()
+            if not done.done():
+                done.set_result(None)
+
+        asyncio.get_running_loop().call_later(self._seconds, finish)
+        await done
+
+
+def test_a_write_goes_on_before_the_next_though_nobody_waits_for_it() -> None:
+    """A read that was given up was learning version 5; version 6 comes, and 5 may not overwrite it."""
+
+    async def scene() -> None:
+        disk = SlowDisk()
+        record = AcceptorRecord(Voter("a", "disk"), None, ControlState(version=4))
+        register = ControlRegister(record, disk, disk.offload, NoLinks(), 1)
+        given_up = asyncio.ensure_future(register.learn(ControlState(version=5)))
+        await asyncio.sleep(0.01)
+        given_up.cancel()
+        await asyncio.wait({given_up})
+        await register.learn(ControlState(version=6))
+        await asyncio.sleep(0.3)
+        assert disk.written == [5, 6]
+        assert register.record is not None and register.record.state.version == 6
+
+    asyncio.run(scene())
