--- a/emberlatch/cluster/rpc/methods.py
+++ b/emberlatch/cluster/rpc/methods.py
@@ -35,7 +35,7 @@
     Method("news", _HARMLESS, "a beat that is told; the newest heard revision only grows"),
     Method("roster", _HARMLESS, "reads"),
     Method("members", _HARMLESS, "members are merged by their lives"),
-    Method("take", _ONCE, "one record by message id and epoch; run again it would ask for new copies"),
+    Method("take", _ONCE, "run again, it could accept what was refused with a promise that it never runs"),
     Method("claim", _ONCE, "merged by epoch; run again it may find the call of this message ended"),
     Method("keep", _HARMLESS, "a copy is merged: state, epoch and owner only grow"),
     Method("ended", _HARMLESS, "merged: an end is final, and a success beats everything"),
