The register's disk: written again after a failure, opened later, and no loss by an unreadable file

Cause: a file of the register that could not be read for a moment (EIO) counted as a lost disk, and a new identity was drawn. A machine whose disk was full at the start had no way to join later. After a failed write only the next request showed whether the disk was back. Change: load raises what is no loss; `attach` begins with a disk that could be opened at last; `rewrite` puts the state in place again after a failure, when its name may not be on the disk. Ruled out: drawing the identity in memory and writing it later, for a vote under it would not outlast a restart.

--- a/emberlatch/cluster/consensus/register.py
+++ b/emberlatch/cluster/consensus/register.py
@@ -125,18 +125,37 @@
         if durable == replace(before, last_batch=None):
             self._record = record
             return True
+        return await self._write(storage, record)
+
+    async def _write(self, storage: Storage, record: AcceptorRecord) -> bool:
+        """Whether the disk took a record; also a caller that is cancelled leaves only once that is known."""
+        durable = replace(record, last_batch=None)
         writing = asyncio.ensure_future(self._offload(lambda: storage.write(durable)))
         cancelled = await _until_done(writing)
         error = _disk_error(writing)
-        self._disk_is(error)
+        self.disk_is(error)
         if error is None:
             self._record = record
         if cancelled:
             raise asyncio.CancelledError
         return error is None
 
-    def _disk_is(self, error: OSError | None) -> None:
-        """The one place in which the disk's condition changes."""
+    async def rewrite(self) -> None:
+        """Write the record again: after a failed write, to see whether the disk takes one now."""
+        async with self._writing:
+            if self._record is not None and self._storage is not None:
+                await self._write(self._storage, self._record)
+
+    def attach(self, record: AcceptorRecord, storage: Storage) -> None:
+        """The disk could be opened at last: this machine votes from now on."""
+        self._record, self._storage = record, storage
+        if record.state.version >= self._state.version and record.state != self._state:
+            self._state = record.state  # before the founding too: it names the seeds
+            self.changed(record.state)
+        self.disk_is(None)
+
+    def disk_is(self, error: OSError | None) -> None:
+        """The one place in which the disk's condition changes: how the last attempt to use it ended."""
         failing = error is not None
         if failing != self.disk_failing:
             self.disk_failing = failing
--- a/emberlatch/cluster/consensus/storage.py
+++ b/emberlatch/cluster/consensus/storage.py
@@ -1,12 +1,13 @@
 """The register's part of a machine's disk: who the machine is, the newest state, and its open vote.
 
 Three small files, each put in place whole. The identity is drawn when there is none: whoever lost the disk
-is somebody else. A file that is damaged counts as a lost disk.
+is somebody else. A file that is damaged counts as a lost disk; one that can't be read just now does not.
 """
 
 from __future__ import annotations
 
 import secrets
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -26,19 +27,22 @@
 
 
 class RecordStorage:
-    """See the module. `folder` is the register's own."""
+    """See the module. `folder` is the register's own, `write` puts a file in place, synced."""
 
-    def __init__(self, folder: Path, node: str) -> None:
-        self._folder, self._node = folder, node
+    def __init__(self, folder: Path, node: str, write: Callable[[Path, bytes], None] = write_synced) -> None:
+        self._folder, self._node, self._write_file = folder, node, write
         self._state_on_disk: ControlState | None = None
         folder.mkdir(parents=True, exist_ok=True)
 
     def load(self) -> AcceptorRecord | None:
-        """What an earlier life kept; None if this disk has nothing that can be trusted."""
+        """What an earlier life kept; None if this disk has nothing that can be trusted.
+
+        OSError if the disk can't be read: that is no loss, and no reason for a new identity.
+        """
         try:
             identity, seat = self._read(IDENTITY)
             state = ControlState.from_wire(self._read(STATE))
-        except (OSError, ValueError, TypeError):
+        except (FileNotFoundError, ValueError, TypeError):
             return None
         record = AcceptorRecord(
             Voter(self._node, str(identity)), None if seat is None else Voter(str(seat), ""), state
@@ -62,7 +66,7 @@
             )
         except FileNotFoundError:
             return record
-        except (OSError, ValueError, TypeError):
+        except (ValueError, TypeError):
             return None
 
     def create(self, state: ControlState, seat: str | None) -> AcceptorRecord:
@@ -74,23 +78,26 @@
             (self._folder / name).unlink(missing_ok=True)
             sync_folder(self._folder)
         identity = secrets.token_hex(8)
-        write_synced(self._folder / STATE, cbor2.dumps(state.to_wire()))
-        write_synced(self._folder / IDENTITY, cbor2.dumps([identity, seat]))
+        self._write_file(self._folder / STATE, cbor2.dumps(state.to_wire()))
+        self._write_file(self._folder / IDENTITY, cbor2.dumps([identity, seat]))
         self._state_on_disk = state
         return AcceptorRecord(Voter(self._node, identity), None if seat is None else Voter(seat, ""), state)
 
     def put(self, record: AcceptorRecord) -> None:
         """Begin an empty disk with a whole record, its identity too."""
         seat = None if record.seat is None else record.seat.node
-        write_synced(self._folder / IDENTITY, cbor2.dumps([record.me.identity, seat]))
+        self._write_file(self._folder / IDENTITY, cbor2.dumps([record.me.identity, seat]))
         self.write(record)
 
     def write(self, record: AcceptorRecord) -> None:
-        """Keep a record, synced; OSError if it can't be."""
-        if record.state != self._state_on_disk:
-            self._state_on_disk = None  # until it is there for sure
-            write_synced(self._folder / STATE, cbor2.dumps(record.state.to_wire()))
-            self._state_on_disk = record.state
+        """Keep a record, synced; OSError if it can't be. The state is then written anew with the next one."""
+        on_disk, self._state_on_disk = self._state_on_disk, None  # until it is there for sure
+        if record.state != on_disk:
+            self._write_file(self._folder / STATE, cbor2.dumps(record.state.to_wire()))
+        self._write_vote(record)
+        self._state_on_disk = record.state
+
+    def _write_vote(self, record: AcceptorRecord) -> None:
         if record.promised is None and record.accepted is None:
             return  # what lies there is about an earlier version
         vote = [
@@ -98,7 +105,7 @@
             optional_ballot_to_wire(record.promised),
             proposal_to_wire(record.accepted),
         ]
-        write_synced(self._folder / VOTE, cbor2.dumps(vote))
+        self._write_file(self._folder / VOTE, cbor2.dumps(vote))
 
     def _read(self, name: str) -> Any:
         try:
