A disk that is full, stalled or fails to sync is a state of a store, and ends no process

Cause: a commit that failed was final: the process ended with code 3, and again at each start while the disk was full. Change: a commit that fails is rolled back; what waited for it is told that it is not done, its writes stay queued (one for each record at most) and are tried again after 0.1 to 1 s. While the disk is not ok a store takes nothing, says so at once and with its heartbeats, sends nothing new, hands over what waits after 0.5 s and keeps ends in memory and at the replicas until they are written. A store that can't read its disk at the start listens, and others take over what its earlier life held. The simulation has disks that are full or fail to sync; process.py ends with 0 or 2 only. Ruled out: opening the database anew after each failure, which trusts pages that a failed sync may have lost. Test replaced: "a commit that fails is final: nothing that waited is done, and the process is told" demanded the end of the process. It is now "a commit that fails: nothing that waited is done, whoever waited is told, and the writes stay queued", with the same condition on what waited.

--- a/emberlatch/cluster/cli/asking.py
+++ b/emberlatch/cluster/cli/asking.py
@@ -102,6 +102,10 @@
             found.append(f"two {what}: " + "; ".join(sides))
     cut_off = [t.member.node for t in there if t.beat.get("stands") == NOT_IN_CONTACT]
     found += [f"{node} has no contact with most of the voters" for node in cut_off]
+    found += [
+        f"{t.member.node}: its disk is {t.beat['disk']}" for t in there if t.beat.get("disk", "ok") != "ok"
+    ]
+    found += [f"{t.member.node} gives no vote: its disk" for t in there if t.beat.get("votes") is False]
     found += [f"{t.member.node} is {t.beat['phase']}" for t in there if t.beat.get("phase") != "serving"]
     return found
 
--- a/emberlatch/cluster/cli/copying.py
+++ b/emberlatch/cluster/cli/copying.py
@@ -20,6 +20,7 @@
 from emberlatch.cluster.consensus.commands import apply_batch
 from emberlatch.cluster.consensus.storage import RecordStorage, read_state
 from emberlatch.cluster.control_plane import FOLDER as CONTROL
+from emberlatch.cluster.disk import Disk
 from emberlatch.cluster.membership import rank
 from emberlatch.cluster.message_store import Record, RecordDatabase, State
 from emberlatch.cluster.settings import read_configuration
@@ -135,7 +136,7 @@
     except BadCopy as bad:
         print(bad, file=sys.stderr)
         return 1
-    database = RecordDatabase(into / "records.db", _never, lambda: 0.0, lambda error: None)
+    database = RecordDatabase(into / "records.db", Disk(_never), lambda: 0.0)
     ours = 0
     for record in records:
         replicas = sorted(nodes, key=lambda name: -rank(record.id, name))[:copies]
--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -43,7 +43,7 @@
     TARGET_SILENT = 405
     TARGET_BACK = 406
     DISK_READ = 501
-    DISK_FAILED = 502
+    DISK_FAILING = 502
     DISK_EMPTY = 503
     MENDED = 504
     TAKEN_OVER = 505
@@ -53,6 +53,9 @@
     COPIED = 509
     RETIRE_MARKED = 510
     RETIRE_DONE = 511
+    DISK_BACK = 512
+    DISK_STALLED = 513
+    DISK_UNREADABLE = 514
     ENDED_DEAD = 601
     ANSWER_ODD = 602
     MODULE_NOTE = 603
@@ -156,7 +159,22 @@
     ),
     Event.BEAT_BAD: (logging.WARNING, "beat refused", "A target sent what can't be read."),
     Event.DISK_READ: (logging.INFO, "disk read", "The records of the earlier life were read."),
-    Event.DISK_FAILED: (logging.CRITICAL, "disk failed", "A sync failed, which is final: the process ends."),
+    Event.DISK_FAILING: (
+        logging.ERROR,
+        "disk failing",
+        "A write or sync failed: nothing is taken until one succeeds; what waits goes to others.",
+    ),
+    Event.DISK_BACK: (logging.INFO, "disk back", "The disk takes writes again; copies are compared."),
+    Event.DISK_STALLED: (
+        logging.WARNING,
+        "disk stalled",
+        "A write has been running for long: nothing is taken until it is done; what waits goes to others.",
+    ),
+    Event.DISK_UNREADABLE: (
+        logging.ERROR,
+        "disk unreadable",
+        "The records can't be read or their file not made; it is tried again until it succeeds.",
+    ),
     Event.DISK_EMPTY: (
         logging.WARNING,
         "disk empty",
--- a/emberlatch/cluster/membership/view.py
+++ b/emberlatch/cluster/membership/view.py
@@ -14,6 +14,7 @@
 from emberlatch.cluster.consensus.maintenance import MemberReport
 from emberlatch.cluster.consensus.state import ControlState, Voter
 from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.membership.disk_reports import DiskReports
 from emberlatch.cluster.membership.placement import rank
 from emberlatch.cluster.membership.roster import Member, Roster
 from emberlatch.cluster.membership.silence import SilenceReports
@@ -52,16 +53,17 @@
         self.identities: dict[str, str] = {}  # of the others' disks, as they said themselves
         self.versions: dict[str, int] = {}  # of the control state on the others' disks
         self.silence = SilenceReports()
+        self.disks = DiskReports()
         self._stores: dict[str, Peer] | None = None  # by node; None: to be made anew
         self._turn = 0
         self._began = asyncio.get_running_loop().time()
         self._asked = -1e9  # when it last asked for a list of stores
         self._untold: dict[str, Member] = {}  # stores of which the others are to hear
 
-    def recall(self, replicator: Replicator) -> None:
-        """What the earlier life noted on disk."""
-        self.replicator = replicator
-        for told in replicator.local_store.database.noted(ROSTER) or []:
+    def recall(self) -> None:
+        """What the earlier life noted on disk; OSError if it can't be read."""
+        assert self.replicator is not None
+        for told in self.replicator.local_store.database.noted(ROSTER) or []:
             self.roster.add(Member.read(told | {"life": 0}))
 
     def close(self) -> None:
@@ -224,7 +226,7 @@
 
     def serving(self, node: str) -> bool:
         """Whether a store said that it takes messages and copies."""
-        return self.phases.get(node) == Phase.SERVING.value
+        return self.phases.get(node) == Phase.SERVING.value and self.disks.writes(node)
 
     def dial(self) -> None:
         """Keep a link to each store; to the seeds for a while, or as long as none is known: the first that
--- a/emberlatch/cluster/message_store/database.py
+++ b/emberlatch/cluster/message_store/database.py
@@ -2,12 +2,14 @@
 
 The file is of this process alone (`EXCLUSIVE` before `WAL`, so that no shared memory is wanted), and a commit
 returns once it outlasts a loss of power (`synchronous=FULL`). Times on disk are the time of day.
+
+A commit that failed is executed again, which writes its pages anew: after a failed sync the kernel may take
+pages for clean that are not on the disk (docs/design/disks.md).
 """
 
 from __future__ import annotations
 
-import asyncio
-import math
+import contextlib
 import sqlite3
 from collections.abc import Callable
 from pathlib import Path
@@ -15,143 +17,209 @@
 
 import cbor2
 
+from emberlatch.cluster.disk import Disk
+from emberlatch.cluster.message_store.disk_health import DiskHealth
+from emberlatch.cluster.message_store.group_commit import GroupCommit
+from emberlatch.cluster.message_store.pending_writes import Drop, Mark, PendingWrites, Put, Write
 from emberlatch.cluster.message_store.record import Record, State
-from emberlatch.store import GroupSync, Offload
 
-_Write = tuple[str, tuple[Any, ...]]
+TABLES = (
+    "CREATE TABLE IF NOT EXISTS records (id TEXT PRIMARY KEY, meta BLOB, body BLOB) WITHOUT ROWID",
+    "CREATE TABLE IF NOT EXISTS marks (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID",
+)
+
+USED_BYTES = (
+    "SELECT (page_count - freelist_count) * page_size"
+    " FROM pragma_page_count, pragma_freelist_count, pragma_page_size"
+)
 
 
 class RecordDatabase:
-    """See the module. `wall` gives the time of day in seconds, `failed` hears that a commit failed."""
-
-    def __init__(
-        self, path: Path, offload: Offload, wall: Callable[[], float], failed: Callable[[OSError], None]
-    ) -> None:
-        path.parent.mkdir(parents=True, exist_ok=True)
-        self.fresh = not path.exists()
-        self._wall, self._offload = wall, offload
-        self._db = sqlite3.connect(path, check_same_thread=False, isolation_level=None)
-        self._db.execute("PRAGMA locking_mode=EXCLUSIVE")
-        self._db.execute("PRAGMA journal_mode=WAL")
-        self._db.execute("PRAGMA synchronous=FULL")
-        self._db.execute("PRAGMA cache_size=-2000")
-        self._db.execute(
-            "CREATE TABLE IF NOT EXISTS records (id TEXT PRIMARY KEY, meta BLOB, body BLOB) WITHOUT ROWID"
-        )
-        self._db.execute("CREATE TABLE IF NOT EXISTS marks (name TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID")
-        self._writes: list[_Write] = []
-        self._busy_since = math.inf
-        self._sync = GroupSync(self, offload, failed)
+    """See the module. `wall` gives the time of day in seconds."""
+
+    def __init__(self, path: Path, disk: Disk, wall: Callable[[], float]) -> None:
+        self._path, self._disk, self._wall = path, disk, wall
+        self._db: sqlite3.Connection | None = None
+        self._log_renewed = False  # whether the write-ahead log was emptied since it was opened
+        self._closed = False
+        self.health = DiskHealth()
+        self.group_commit = GroupCommit(self._commit, disk.offload, self.health)
+
+    def open(self) -> None:
+        """Open the file, making it if there is none; OSError if the disk does not allow it."""
+        if self._db is not None:
+            return
+        if self._closed:
+            raise OSError("the database is closed")
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        try:
+            db = self._disk.connect(self._path)
+            try:
+                _prepare(db)
+            except sqlite3.Error:
+                db.close()
+                raise
+        except sqlite3.Error as error:
+            raise OSError(str(error)) from error
+        self._db, self._log_renewed = db, False
+
+    async def open_later(self) -> None:
+        """Open the file where it may block; OSError if the disk does not allow it."""
+        if self._db is None:
+            await self._disk.offload(self.open)
+
+    @property
+    def _open_db(self) -> sqlite3.Connection:
+        if self._db is None:
+            raise OSError("the database is not open")
+        return self._db
 
     def _meta(self, record: Record, now: float) -> bytes:
         told = record.told(now - self._wall(), None)  # its times come out as times of day
         del told["body"], told["id"]
         return cbor2.dumps(told)
 
+    # Writing.
+
     def put(self, record: Record, now: float) -> None:
         """Write a record with its body."""
-        self._writes.append(
-            (
-                "INSERT OR REPLACE INTO records VALUES (?, ?, ?)",
-                (record.id, self._meta(record, now), record.body),
-            )
-        )
+        self.group_commit.pending.add(record.id, Put(self._meta(record, now), record.body))
 
     def mark(self, record: Record, now: float) -> None:
         """Write what has changed of a record; the body of a success goes."""
-        meta = self._meta(record, now)
-        if record.state is State.DONE:
-            self._writes.append(("UPDATE records SET meta = ?, body = NULL WHERE id = ?", (meta, record.id)))
-        else:
-            self._writes.append(("UPDATE records SET meta = ? WHERE id = ?", (meta, record.id)))
+        mark = Mark(self._meta(record, now), drop_body=record.state is State.DONE)
+        self.group_commit.pending.add(record.id, mark)
 
     def drop(self, id: str) -> None:
         """Forget a record."""
-        self._writes.append(("DELETE FROM records WHERE id = ?", (id,)))
+        self.group_commit.pending.add(id, Drop())
 
     def note(self, name: str, value: Any) -> None:
         """Write something by its name."""
-        self._writes.append(("INSERT OR REPLACE INTO marks VALUES (?, ?)", (name, cbor2.dumps(value))))
-
-    def noted(self, name: str) -> Any:
-        """What was written by that name; None if nothing was."""
-        row = self._db.execute("SELECT value FROM marks WHERE name = ?", (name,)).fetchone()
-        return cbor2.loads(row[0]) if row is not None else None
+        self.group_commit.pending.notes[name] = cbor2.dumps(value)
 
-    def stands(self, then: Callable[[], None]) -> None:
-        """Do this once all that is written by now is safe."""
-        self._sync.stands(then)
+    def stands(self, committed: Callable[[], None], failed: Callable[[], None] = lambda: None) -> None:
+        """Call one of these once all that is written by now is safe, or was not taken by the disk."""
+        self.group_commit.stands(committed, failed)
 
     def settle(self) -> None:
         """What is written by now becomes safe soon; nobody waits for it."""
-        if self._writes:
-            self._sync.stands(_nothing)
+        self.group_commit.settle()
 
-    def lag(self, now: float) -> float:
-        """For how long the commit that runs has been running."""
-        return max(0.0, now - self._busy_since)
+    def _commit(self, writes: PendingWrites) -> None:
+        """Commit all of these, or none; OSError if the disk did not take them."""
+        try:
+            self.open()
+            self._renew_log()
+            db = self._open_db
+            db.execute("BEGIN")
+            for id, write in writes.records():
+                _execute(db, id, write)
+            for name, value in writes.notes.items():
+                db.execute("INSERT OR REPLACE INTO marks VALUES (?, ?)", (name, value))
+            db.execute("COMMIT")
+        except sqlite3.Error as error:
+            self._roll_back()
+            raise OSError(str(error)) from error
 
-    def unsynced(self) -> Callable[[], None]:
-        writes, self._writes = self._writes, []
-        self._busy_since = asyncio.get_running_loop().time()
-        return lambda: self._commit(writes)
+    def _renew_log(self) -> None:
+        """Before the first commit: bring what an earlier life wrote from the log into the file.
+
+        Its last sync may have failed. Commits behind frames that are in the page cache alone would be lost
+        with them.
+        """
+        if self._log_renewed:
+            return
+        busy, _, _ = self._open_db.execute("PRAGMA wal_checkpoint(TRUNCATE)").fetchone()
+        if busy:
+            raise OSError("the write-ahead log can't be emptied")
+        self._log_renewed = True
+
+    def _roll_back(self) -> None:
+        """End a failed transaction; a connection that can't is given up, and opened anew."""
+        if self._db is None or not self._db.in_transaction:
+            return
+        try:
+            self._db.execute("ROLLBACK")
+        except sqlite3.Error:
+            with contextlib.suppress(sqlite3.Error):
+                self._db.close()
+            self._db = None
 
-    def synced(self) -> None:
-        self._busy_since = math.inf
+    # Reading.
 
-    def _commit(self, writes: list[_Write]) -> None:
+    def noted(self, name: str) -> Any:
+        """What was written by that name; None if nothing was. OSError if it can't be read."""
         try:
-            self._db.execute("BEGIN")
-            for statement, values in writes:
-                self._db.execute(statement, values)
-            self._db.execute("COMMIT")
+            row = self._open_db.execute("SELECT value FROM marks WHERE name = ?", (name,)).fetchone()
         except sqlite3.Error as error:
             raise OSError(str(error)) from error
+        return cbor2.loads(row[0]) if row is not None else None
 
     def load(self, now: float) -> list[Record]:
-        """All records; bodies of those that have not ended."""
+        """All records; bodies of those that have not ended. OSError if they can't be read."""
         found, back = [], now - self._wall()
-        for id, meta, body in self._db.execute("SELECT id, meta, body FROM records"):
-            told = cbor2.loads(meta)
-            told |= {"id": id, "body": body if told["state"] <= State.VOID else None}
-            found.append(Record.read(told, back))
+        try:
+            for id, meta, body in self._open_db.execute("SELECT id, meta, body FROM records"):
+                told = cbor2.loads(meta)
+                told |= {"id": id, "body": body if told["state"] <= State.VOID else None}
+                found.append(Record.read(told, back))
+        except sqlite3.Error as error:
+            raise OSError(str(error)) from error
         return found
 
     async def body(self, id: str) -> bytes | None:
-        """The body of a record, wherever it is."""
-        found: list[bytes | None] = []
-
-        def read() -> None:
-            row = self._db.execute("SELECT body FROM records WHERE id = ?", (id,)).fetchone()
-            found.append(row[0] if row is not None else None)
-
-        await self._offload(read)
-        return found[0]
+        """The body of a record, wherever it is. OSError if it can't be read."""
+        rows = await self._read("SELECT body FROM records WHERE id = ?", (id,))
+        return rows[0][0] if rows else None
 
     async def used(self) -> int:
-        """Bytes of the file that hold something."""
-        found: list[int] = []
+        """Bytes of the file that hold something. OSError if that can't be read."""
+        rows = await self._read(USED_BYTES)
+        return int(rows[0][0])
+
+    async def _read(self, statement: str, values: tuple[Any, ...] = ()) -> list[Any]:
+        rows: list[Any] = []
 
         def read() -> None:
-            pages, spare, size = (
-                self._db.execute(f"PRAGMA {name}").fetchone()[0]
-                for name in ("page_count", "freelist_count", "page_size")
-            )
-            found.append((pages - spare) * size)
+            try:
+                rows.extend(self._open_db.execute(statement, values).fetchall())
+            except sqlite3.Error as error:
+                raise OSError(str(error)) from error
+
+        await self._disk.offload(read)
+        return rows
 
-        await self._offload(read)
-        return found[0]
+    # The end.
 
     def abandon(self) -> None:
         """Its process is dead: nothing more is written."""
-        self._db.close()
+        self._closed = True
+        if self._db is not None:
+            self._db.close()
 
     def close(self) -> None:
-        """Write what is left, and close."""
-        self._commit(self._writes)
-        self._writes = []
-        self._db.close()
-
-
-def _nothing() -> None:
-    pass
+        """Write what is left, and close; OSError if the disk does not take it."""
+        try:
+            self._commit(self.group_commit.take())
+        finally:
+            self.abandon()
+
+
+def _prepare(db: sqlite3.Connection) -> None:
+    for setting in ("locking_mode=EXCLUSIVE", "journal_mode=WAL", "synchronous=FULL", "cache_size=-2000"):
+        db.execute(f"PRAGMA {setting}")
+    for table in TABLES:
+        db.execute(table)
+
+
+def _execute(db: sqlite3.Connection, id: str, write: Write) -> None:
+    match write:
+        case Put(meta=meta, body=body):
+            db.execute("INSERT OR REPLACE INTO records VALUES (?, ?, ?)", (id, meta, body))
+        case Mark(meta=meta, drop_body=True):
+            db.execute("UPDATE records SET meta = ?, body = NULL WHERE id = ?", (meta, id))
+        case Mark(meta=meta):
+            db.execute("UPDATE records SET meta = ? WHERE id = ?", (meta, id))
+        case Drop():
+            db.execute("DELETE FROM records WHERE id = ?", (id,))
--- a/emberlatch/cluster/message_store/local_store.py
+++ b/emberlatch/cluster/message_store/local_store.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from emberlatch.cluster.message_store.database import RecordDatabase
+from emberlatch.cluster.message_store.disk_health import DiskState
 from emberlatch.cluster.message_store.index import RecordIndex
 from emberlatch.cluster.message_store.record import Record, State
 
@@ -112,12 +113,30 @@
         """What binds of a record, without its bytes."""
         return [record.id, int(record.state), record.seal, record.epoch, record.holder, record.attempts]
 
-    def standing(self) -> asyncio.Future[None]:
-        """Done once all that is written by now is on disk."""
-        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.database.stands(lambda: None if done.done() else done.set_result(None))
+    def standing(self) -> asyncio.Future[bool]:
+        """True once all that is written by now is on disk, false if the disk did not take it.
+
+        What was not taken is written later; nobody is to be told before that it is there.
+        """
+        done: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+        def settled(there: bool) -> None:
+            if not done.done():
+                done.set_result(there)
+
+        self.database.stands(lambda: settled(True), lambda: settled(False))
         return done
 
+    @property
+    def disk(self) -> DiskState:
+        """What the disk does now."""
+        return self.database.health.state(self._now())
+
+    @property
+    def writable(self) -> bool:
+        """Whether the disk takes what is written."""
+        return self.disk is DiskState.OK
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -35,6 +35,9 @@
     ) -> None:
         self._local_store, self._repair, self._stores, self._able = local_store, repair, stores, able
         self.reaches, self._silent_s = reaches, silent_s
+        self.unreadable_s: Callable[[str], float] = lambda _: (
+            0.0
+        )  # for how long a machine can't read its disk
         self._ticked = asyncio.get_running_loop().time()
         self._apart = -1e9  # when it last did not reach most of the voters: it was cut off, not they
         self._stalled = -1e9  # when this process last stood still
@@ -99,7 +102,9 @@
 
     def own(self, words: list[list[object]]) -> list[object]:
         """A holder that leaves makes us the holder; which of them we do not have."""
-        missing = []
+        if not self._local_store.writable:
+            return [id for id, *_ in words]
+        missing: list[object] = []
         for id, epoch, attempts in words:
             record = self._local_store.index.records.get(str(id))
             if record is None:
@@ -115,6 +120,8 @@
     def _dead(self, peer: Peer, now: float) -> bool:
         if peer.state is PeerState.REFUSED:  # unless a new life of it has dialled us since
             return peer.spoken < peer.since and now - peer.since > DEAD
+        if peer.up and self.unreadable_s(peer.name) > DEAD:  # this life of it knows of nothing yet
+            return self.in_touch()
         since = max(peer.last_up, peer.began, peer.spoken, self._apart)
         if peer.up or now - since <= LEASE or not self.in_touch():
             return False
@@ -134,7 +141,9 @@
             if not record.open or record.holder not in dead:
                 continue
             living = (
-                n for n in record.replicas if n == self._local_store.me or (n in stores and stores[n].up)
+                n
+                for n in record.replicas
+                if n == self._local_store.me or (n in stores and stores[n].up and n not in dead)
             )
             if next(living, None) == self._local_store.me:
                 count += 1
--- a/emberlatch/cluster/message_store/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -39,6 +39,7 @@
         self._spreading = False
         self._looked = 0.0
         self.leaving: Callable[[], set[str]] = lambda: set()  # machines whose copies are not to count
+        self.writes: Callable[[str], bool] = lambda _: True  # whether a machine's disk takes what is written
 
     def due(self, now: float) -> None:
         """Compare with those that came up since the last time, and with all now and then."""
@@ -60,8 +61,9 @@
             for ids in parts(want, 200):
                 for record in await peer.ask("records", ids, ASK):
                     self._local_store.absorb(record)
-            await self.give(peer, give)
-            await self._local_store.standing()
+            if self.writes(peer.name):  # else it turns them down, and compares once its disk is back
+                await self.give(peer, give)
+            await self._local_store.standing()  # what is not taken yet stays in memory, and to be written
             if want or give:
                 log_event(Event.MENDED, peer.name, f"taken={len(want)} given={len(give)}")
             self.mended[peer.name] = began
@@ -77,10 +79,15 @@
             batch.append(self._local_store.told(record))
             size += 300 + len(record.body or b"")
             if size > BATCH:
-                await peer.ask("mend", batch, ASK)
+                await self._store_at(peer, batch)
                 batch, size = [], 0
         if batch:
-            await peer.ask("mend", batch, ASK)
+            await self._store_at(peer, batch)
+
+    @staticmethod
+    async def _store_at(peer: Peer, batch: list[dict[str, Any]]) -> None:
+        if not await peer.ask("mend", batch, ASK):
+            raise Lost("mend", peer.name, "its disk does not take them", True)
 
     # What others ask.
 
@@ -95,11 +102,12 @@
         return [self._local_store.told(record) for record in found if record is not None]
 
     async def take(self, told: list[dict[str, Any]]) -> bool:
-        """Another store sends what we lack; true once it is on our disk."""
+        """Another store sends what we lack; whether it is on our disk now."""
+        if not self._local_store.writable:
+            return False
         for record in told:
             self._local_store.absorb(record)
-        await self._local_store.standing()
-        return True
+        return await self._local_store.standing()
 
     # Copies.
 
@@ -153,7 +161,7 @@
                 replicas = [(r, (*r.replicas, name)) for r in part]
                 try:
                     batch = [self._local_store.told(r) | {"keepers": list(k)} for r, k in replicas]
-                    await peers[name].ask("mend", batch, ASK)
+                    await self._store_at(peers[name], batch)
                 except Lost:
                     break
                 for record, kept in replicas:
--- a/emberlatch/cluster/message_store/replicator.py
+++ b/emberlatch/cluster/message_store/replicator.py
@@ -7,9 +7,11 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Iterator
+from enum import IntEnum
 from typing import Any
 
 from emberlatch.cluster.events import Event, log_event
+from emberlatch.cluster.message_store.disk_watch import DiskWatch
 from emberlatch.cluster.message_store.local_store import LocalStore, Phase
 from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.record import WORDS, Record, State
@@ -29,6 +31,14 @@
 ALONE = 1.5  # seconds after which a start goes on without those that do not answer
 
 
+class KeepReply(IntEnum):
+    """What became of a copy at another store."""
+
+    REFUSED = 0  # it was turned down before anything of it was written
+    UNCERTAIN = 1  # it may be there, or come to be
+    KEPT = 2  # it is on that store's disk
+
+
 class Replicator:
     """`stores` are the other stores that count, by node; `known` all that were ever heard of; `able` those
     that take copies, `partners` the same for what some have, the best first; `enough` says whether these
@@ -55,6 +65,7 @@
         self._memory, self._disk, self._keep_s = limits[0] * IN_MEMORY, limits[1] * ROOM, keep_s
         self.repair = Repair(local_store, tasks, known, able, partners, enough)
         self.ownership = Ownership(local_store, self.repair, stores, able, reaches, silent_s)
+        self.disk_watch = DiskWatch(local_store, self.repair, self.ownership, tasks, able)
         self._taking: dict[str, asyncio.Future[dict[str, Any]]] = {}
         self.full = False
         self.phase_changed: Callable[[Phase], None] = lambda _: None
@@ -82,15 +93,16 @@
         `first`: nothing was ever taken anywhere. An empty disk at any other start is a loss.
         """
         loop, database = asyncio.get_running_loop(), self.local_store.database
-        records = database.load(loop.time())
+        records, lost = await self.disk_watch.read()
+        lost = lost and not first
         for record in records:
             self.local_store.index.put(record)
-        lost = database.noted("life") is None and not first
         log_event(Event.DISK_READ, f"records={len(records)}") if not lost else log_event(Event.DISK_EMPTY)
         database.note("life", 1)
         began = loop.time()
         while not first and not self._known(loop.time() - began, lost):
             self.ownership.tick(loop.time())
+            self.disk_watch.tick(loop.time())
             self.repair.due(loop.time())
             await asyncio.sleep(0.02)
         self.become(Phase.SERVING)
@@ -125,8 +137,8 @@
             return {"ok": False, "clear": known is None, "why": self.phase.value}
         if self.full or self.local_store.index.bytes + len(told["body"]) > self._memory:
             return {"ok": False, "clear": known is None, "why": "full"}
-        if self._disk_lags():
-            return {"ok": False, "clear": known is None, "why": "its disk stands still"}
+        if not self._disk_takes():
+            return {"ok": False, "clear": known is None, "why": "its disk can't be written now"}
         partners = self._chosen()
         if not self._enough([self.me, *(p.name for p in partners if not p.lagging)]):
             return {"ok": False, "clear": known is None, "why": "too few other stores answer"}
@@ -161,12 +173,12 @@
         own = self.local_store.standing()
         claimed = self._claim(record, told.get("maybe") or [])
         (have, asked), _ = await asyncio.gather(self._copies(record, partners), claimed)
-        await own
-        if self._enough([self.me, *have]) and not record.open and record.state is not State.VOID:
+        stands = await own and self._enough([self.me, *have])
+        if stands and not record.open and record.state is not State.VOID:
             return {"ok": True, "clear": False, "why": "ended"}
-        if self._enough([self.me, *have]) and record.open and record.epoch > epoch:
+        if stands and record.open and record.epoch > epoch:
             return {"ok": True, "clear": False, "why": "another delivers it"}
-        if self._enough([self.me, *have]) and record.open and record.epoch == epoch:
+        if stands and record.open and record.epoch == epoch:
             if record.holder == self.me and self.local_store.delivers:
                 self.local_store.deliverer.deliver(record)
             elif record.holder == self.me:
@@ -196,12 +208,12 @@
         Whoever has not answered soon is not waited for alone: a further one is asked beside it.
         """
         loop = asyncio.get_running_loop()
-        until, have, asked = loop.time() + TAKE, set[str](), set[str]()
-        out: dict[asyncio.Task[bool | None], str] = {}
+        until, have, asked, refused = loop.time() + TAKE, set[str](), set[str](), set[str]()
+        out: dict[asyncio.Task[KeepReply], str] = {}
         late = False  # whether those that were asked take long
         while not self._enough([self.me, *have]) and loop.time() < until:
             if late or not self._enough([self.me, *have, *out.values()]):
-                peer = chosen.pop(0) if chosen else self._partner(asked)
+                peer = chosen.pop(0) if chosen else self._partner(asked | refused)
                 if peer is not None:
                     late = False
                     asked.add(peer.name)
@@ -211,24 +223,25 @@
                     continue
             if not out:
                 break
-            last = self._partner(asked) is None
+            last = self._partner(asked | refused) is None
             timeout = until - loop.time() if last else min(HEDGE, until - loop.time())
             done, _ = await asyncio.wait(out, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
             late = not done
             for task in done:
-                name, there = out.pop(task), task.result()
-                have |= {name} if there else set()
-                asked -= {name} if there is None else set()
-                if there is None and self._partner(asked) is None:
-                    return have, asked
+                name, reply = out.pop(task), task.result()
+                if reply is KeepReply.KEPT:
+                    have.add(name)
+                if reply is KeepReply.REFUSED:
+                    asked.discard(name)
+                    refused.add(name)
         return have, asked
 
-    async def _copy(self, peer: Peer, record: Record) -> bool | None:
-        """Whether it has a copy on its disk; None if it surely never heard of it."""
+    async def _copy(self, peer: Peer, record: Record) -> KeepReply:
+        """Ask a store for a copy."""
         try:
-            return bool(await peer.ask("keep", self.local_store.told(record), COPY))
+            return KeepReply(await peer.ask("keep", self.local_store.told(record), COPY))
         except Lost as lost:
-            return False if lost.sent else None
+            return KeepReply.UNCERTAIN if lost.sent else KeepReply.REFUSED
 
     async def _claim(self, record: Record, maybe: list[str]) -> None:
         """Others may have taken it for the same client: it is ours now, unless they deliver it or have."""
@@ -260,8 +273,14 @@
         self.local_store.add(record)
         return record
 
-    def _disk_lags(self) -> bool:
-        return self.local_store.database.lag(asyncio.get_running_loop().time()) > DISK_LAG
+    def _disk_takes(self) -> bool:
+        """Whether what is written now is on disk soon."""
+        lag = self.local_store.database.health.lag(asyncio.get_running_loop().time())
+        return self.local_store.writable and lag <= DISK_LAG
+
+    def may_send(self) -> bool:
+        """Whether deliveries may begin: nobody else holds what we hold, and their ends can be written."""
+        return self.local_store.writable and self.ownership.in_touch()
 
     async def _void(self, record: Record, asked: set[str], epoch: int) -> bool:
         """It is not taken after all; whether no copy of it that was written under this epoch can ever run."""
@@ -270,8 +289,7 @@
         word = [[record.id, int(State.VOID), "", epoch, self.me, record.attempts]]
         others = [p for n, p in self._stores().items() if n in asked]
         sure = await asyncio.gather(*(self._sure(p, word) for p in others))
-        await own
-        return all(sure) and len(others) == len(asked) and record.state is State.VOID
+        return await own and all(sure) and len(others) == len(asked) and record.state is State.VOID
 
     async def _sure(self, peer: Peer, word: list[Any]) -> bool:
         try:
@@ -284,17 +302,20 @@
         """Whether a message is being taken."""
         return bool(self._taking)
 
-    async def settled(self) -> None:
-        """All that was written by now is on disk."""
-        await self.local_store.standing()
+    async def settled(self, timeout: float) -> bool:
+        """Whether all that was written by now is on disk within this time."""
+        standing = self.local_store.standing()
+        await asyncio.wait({standing}, timeout=timeout)
+        return standing.done() and standing.result()
 
-    async def keep(self, told: dict[str, Any]) -> bool:
-        """Another store sends a copy; whether it is on our disk now, as it was sent."""
-        if self.phase in (Phase.CLOSING, Phase.RETIRING) or self._disk_lags():
-            return False
+    async def keep(self, told: dict[str, Any]) -> KeepReply:
+        """Another store sends a copy: whether it is on our disk now, as it was sent."""
+        if self.phase in (Phase.CLOSING, Phase.RETIRING) or not self._disk_takes():
+            return KeepReply.REFUSED
         record = self.local_store.absorb(told)
-        await self.local_store.standing()
-        return record is not None and record.state is not State.VOID
+        stands = await self.local_store.standing()
+        kept = stands and record is not None and record.state is not State.VOID
+        return KeepReply.KEPT if kept else KeepReply.UNCERTAIN
 
     # Ends.
 
@@ -308,7 +329,7 @@
                 peer.tell("ended", word)  # who does not hear it now hears it when copies are compared
 
     async def ended(self, words: list[list[Any]]) -> bool:
-        """Another store tells how messages ended, or who holds them; true once that is on our disk.
+        """Another store tells how messages ended, or who holds them; whether that is on our disk now.
 
         A void that comes before its copy is kept as one, so that the copy can't bring it back.
         """
@@ -319,8 +340,7 @@
                     self.local_store.merge(record, state, seal, epoch, holder, attempts)
             elif state == State.VOID:
                 self._stub(id, epoch, holder)
-        await self.local_store.standing()
-        return True
+        return await self.local_store.standing()
 
     def state_of(self, id: str) -> list[Any] | None:
         """State and seal; None if it is not known here."""
@@ -334,7 +354,12 @@
         record = self.local_store.index.records.get(id)
         if record is None or record.state in (State.VOID, State.DONE):
             return None
-        return record.body if record.body is not None else await self.local_store.database.body(id)
+        if record.body is not None:
+            return record.body
+        try:
+            return await self.local_store.database.body(id)
+        except OSError as error:
+            raise Lost("body", self.me, str(error), True) from error
 
     # Time.
 
@@ -346,6 +371,7 @@
             await asyncio.sleep(0.1)
             now = loop.time()
             self.ownership.tick(now)
+            self.disk_watch.tick(now)
             self.ownership.take_over(now, self._known_stores())
             self.repair.due(now)
             if self.local_store.delivers:
@@ -366,7 +392,14 @@
                 local_store.index.drop(record)
                 local_store.database.drop(record.id)
         local_store.database.settle()
-        full = self._disk > 0 and await local_store.database.used() > self._disk
+        if self._disk > 0:
+            await self._look_for_room()
+
+    async def _look_for_room(self) -> None:
+        try:
+            full = await self.local_store.database.used() > self._disk
+        except OSError:
+            return  # the disk's state tells
         if full and not self.full:
             log_event(Event.DISK_FULL)
         self.full = full
--- a/emberlatch/cluster/node.py
+++ b/emberlatch/cluster/node.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import contextlib
 from typing import Any
 
 from emberlatch.cluster.config_store import ConfigStore
 from emberlatch.cluster.control_api import CallHandler, ControlApi, ForwardingHandler, LocalHandler
 from emberlatch.cluster.control_plane import NOT_IN_CONTACT, ControlPlane
 from emberlatch.cluster.discovery import Target, Targets
+from emberlatch.cluster.disk import Disk
 from emberlatch.cluster.dispatch import Dispatcher
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.ingress import Front, HttpListener, Ready
@@ -40,32 +41,31 @@
 )
 from emberlatch.cluster.settings import Configuration, NodeSettings
 from emberlatch.engine import Machine, Tasks
-from emberlatch.store import Offload
 
 FEW = 6  # stores to which a forwarder tells as often as a store does that it is there
 MOST_OF_IT = 0.8  # share of a zone's part of a limit that the store has whose turn the service is
 TAKE_STILL = (
     2.7  # seconds after SIGTERM in which clients that still come are served; at most part of the grace
 )
+SETTLED_BEFORE_S = 0.5  # seconds before the grace ends at which the disk is waited for no more
 
 
 class Node:
-    """See the module. `failed` is told when the disk can be believed no more."""
+    """See the module."""
 
     def __init__(
         self,
         settings: NodeSettings,
         machine: Machine,
-        offload: Offload,
+        disk: Disk,
         life: int,
         seed: int,
-        failed: Callable[[OSError], None],
     ) -> None:
         self.settings, self.machine, self.tasks = settings, machine, Tasks()
-        self._offload, self._life, self._seed, self._failed = offload, life, seed, failed
+        self._disk, self._life, self._seed = disk, life, seed
         self.endpoint = LocalEndpoint(Incarnation(settings.node, life))
         self.membership = MembershipView(settings, life, self.tasks, self, self.serve)
-        self.stopping = False
+        self.stopping = self._recalled = False
         self.config_store = ConfigStore(self.tasks)
         self.config_store.in_force = self._in_force
         self.control: ControlPlane | None = None
@@ -94,6 +94,8 @@
         phase = self.replicator.phase.value if self.replicator is not None else None
         told: dict[str, Any] = {"phase": phase, "stands": self._revision_told()}
         told["stores"] = self.membership.roster.digest()
+        if self.replicator is not None:
+            told["disk"] = self.replicator.local_store.disk.value
         return told | (self.control.heartbeat() if self.control is not None else {})
 
     def _revision_told(self) -> int:
@@ -110,7 +112,7 @@
     def _identified(self, told: Any) -> None:
         """A machine says itself which disk it has."""
         member = Member.read(told["me"])
-        if member.store and isinstance(told.get("identity"), str):
+        if member.store and isinstance(told.get("identity"), str) and told["identity"]:
             self.membership.identities[member.node] = told["identity"]
 
     def beaten(self, peer: Peer, told: Any) -> None:
@@ -121,6 +123,7 @@
         if told["phase"] is None:
             return
         self.membership.phases[peer.name] = told["phase"]
+        self.membership.disks.report(peer.name, told.get("disk"), asyncio.get_running_loop().time())
         self.membership.compare(peer, told.get("stores"))
         if self.control is not None:
             self.control.heard(peer, told)
@@ -130,6 +133,7 @@
     def changed(self, peer: Peer) -> None:
         if not peer.up:
             self.membership.phases.pop(peer.name, None)
+            self.membership.disks.forget(peer.name)
         if peer.up and self.targets is not None and self.targets.known:
             now = asyncio.get_running_loop().time()
             peer.tell("targets", [target.told(now) for target in self.targets.known.values()])
@@ -282,9 +286,7 @@
         settings, membership = self.settings, self.membership
         assert settings.data_dir is not None
         index = RecordIndex(settings.node)
-        database = RecordDatabase(
-            settings.data_dir / "records.db", self._offload, self.machine.wall, self._failed
-        )
+        database = RecordDatabase(settings.data_dir / "records.db", self._disk, self.machine.wall)
         limits = settings.memory_mb * 1e6, settings.disk_mb * 1e6
         local_store = LocalStore(settings.node, index, database)
         replicator = self.replicator = Replicator(
@@ -293,22 +295,30 @@
             settings.bounds.status_keep_s,
         )  # fmt: skip
         replicator.repair.leaving = lambda: set(membership.control_state().leaving)
-        membership.recall(replicator)
+        replicator.repair.writes = membership.disks.writes
+        replicator.ownership.unreadable_s = lambda n: membership.disks.unreadable_s(n, membership.now())
+        membership.replicator = replicator
+        with contextlib.suppress(OSError):  # the store's life begins with another attempt
+            database.open()
+            self._recall()
         self.control = ControlPlane(
-            settings, membership, self.config_store, self._offload, self.tasks, self._life, self._seed,
+            settings, membership, self.config_store, self._disk, self.tasks, self._life, self._seed,
             self._tell_beat,
         )  # fmt: skip
         replicator.phase_changed = lambda _: self._tell_beat()
+        replicator.disk_watch.changed = self._tell_beat
         self.targets = Targets(settings.heartbeat_ms / 1000, self._target_changed)
         window = settings.bounds.origin_window_s, settings.bounds.origin_excess
         self.dispatcher = Dispatcher(
             settings.zone, self.tasks, self._seed, local_store.ours, self._finished, self._wrong,
-            replicator.ownership.in_touch, self._parts, window, max(64, (settings.max_fds - 300) // 4),
+            replicator.may_send, self._parts, window, max(64, (settings.max_fds - 300) // 4),
         )  # fmt: skip
         local_store.deliverer = self.dispatcher
 
     async def _store_life(self, replicator: Replicator) -> None:
         await replicator.start(self.settings.initial_start)
+        with contextlib.suppress(OSError):  # the seeds tell of the others
+            self._recall()
         self.tasks.spawn(replicator.tend())
         loop = asyncio.get_running_loop()
         while True:
@@ -319,6 +329,13 @@
             self.membership.roster.lapse(loop.time() - FORGOTTEN)
             self.dispatcher.poke()
 
+    def _recall(self) -> None:
+        """Dial the stores that the earlier life knew; OSError if the disk can't be read yet."""
+        if not self._recalled:
+            self.membership.recall()
+            self._recalled = True
+            self.membership.dial()
+
     def _target_changed(self, target: Target) -> None:
         assert self.dispatcher is not None
         self.dispatcher.target(target)
@@ -374,6 +391,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + self.settings.bounds.grace_s
         log_event(Event.STOPPING, self.settings.node)
+        written = False
         if self.front is not None:
             self.front.drain(True)
             still = loop.time() + min(TAKE_STILL, self.settings.bounds.grace_s * 0.45)
@@ -395,13 +413,14 @@
             for peer in self.membership.peers.values():
                 peer.flush()
             await asyncio.sleep(0.03)
-            await self.replicator.settled()
+            written = await self.replicator.settled(max(0.0, until - SETTLED_BEFORE_S - loop.time()))
         if self.control is not None:
             self.control.close()
         self.membership.close()
         await asyncio.sleep(0.02)
-        if self.replicator is not None:
-            self.replicator.local_store.database.close()
+        if self.replicator is not None and written:  # else a commit hangs, or fails: the others know
+            with contextlib.suppress(OSError):
+                self.replicator.local_store.database.close()
         log_event(Event.STOPPED, self.settings.node)
         self.tasks.cancel()
 
--- a/emberlatch/cluster/process.py
+++ b/emberlatch/cluster/process.py
@@ -14,6 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from emberlatch.cluster.disk import Disk
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.node import Node
 from emberlatch.cluster.settings import NodeSettings, SettingsError, read_settings
@@ -28,23 +29,17 @@
     def __init__(self, path: Path, settings: NodeSettings) -> None:
         self._path, self._settings = path, settings
         self._ended = asyncio.Event()
-        self._code = 0
-        self._disk = ThreadPoolExecutor(1, "disk")
+        self._disk_thread = ThreadPoolExecutor(1, "disk")
 
     async def _offload(self, work: Callable[[], None]) -> None:
-        await asyncio.get_running_loop().run_in_executor(self._disk, work)
+        await asyncio.get_running_loop().run_in_executor(self._disk_thread, work)
 
-    def _failed(self, error: OSError) -> None:
-        log_event(Event.DISK_FAILED, str(error))
-        self._code = 3
-        self._ended.set()
-
-    async def run(self) -> int:
-        """Until SIGTERM, or a disk that can be believed no more."""
+    async def run(self) -> None:
+        """Until SIGTERM. Trouble of the disk is a state of the node, and never ends the process."""
         loop = asyncio.get_running_loop()
         machine = Machine()
         life = max(1, int(time.time() * 1000))
-        node = Node(self._settings, machine, self._offload, life, random.randrange(1 << 30), self._failed)
+        node = Node(self._settings, machine, Disk(self._offload), life, random.randrange(1 << 30))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._ended.set)
         loop.add_signal_handler(signal.SIGHUP, self._again)
@@ -54,9 +49,7 @@
         watch = loop.create_task(self._watch())
         await self._ended.wait()
         watch.cancel()
-        if self._code == 0:
-            await node.stop()
-        return self._code
+        await node.stop()
 
     def _again(self) -> None:
         """The settings file has changed: a sound one is noted, any other changes nothing."""
@@ -92,12 +85,12 @@
     try:
         import uvloop
     except ImportError:
-        code = asyncio.run(_main(Path(path), settings))
+        asyncio.run(_main(Path(path), settings))
     else:
-        code = uvloop.run(_main(Path(path), settings))
+        uvloop.run(_main(Path(path), settings))
     sys.stderr.flush()
-    os._exit(code)  # threads of the pool may still wait
+    os._exit(0)  # threads of the pool may still wait
 
 
-async def _main(path: Path, settings: NodeSettings) -> int:
-    return await NodeProcess(path, settings).run()
+async def _main(path: Path, settings: NodeSettings) -> None:
+    await NodeProcess(path, settings).run()
--- a/emberlatch/simulation/scenario.py
+++ b/emberlatch/simulation/scenario.py
@@ -12,6 +12,7 @@
 from emberlatch.net.http import BrokenError
 from emberlatch.simulation.actors import Clients, Operator, ask
 from emberlatch.simulation.cluster import FRONT, SYNC, Fault, Plan, SimulatedCluster, SimulatedNode
+from emberlatch.simulation.disk import DiskFault
 from emberlatch.simulation.history import Breach
 
 SETTLE = 12.0  # seconds after the last message until the end is asked for
@@ -147,6 +148,16 @@
             case "stall" if node is not None:
                 node.disk_s = fault.seconds
                 world.later(fault.seconds, lambda: setattr(node, "disk_s", SYNC))
+            case "disk full" if node is not None:
+                node.disk.fail(DiskFault.FULL)
+                world.later(fault.seconds, node.disk.mend)
+            case "sync fails" if node is not None:
+                node.disk.fail(DiskFault.SYNC_FAILS)
+                world.later(fault.seconds, node.disk.mend)
+            case "all disks full":
+                for one in world.nodes.values():
+                    one.disk.fail(DiskFault.FULL)
+                    world.later(fault.seconds, one.disk.mend)
             case "race":
                 self.revision += 2
                 for controls, nominal in ((world.controls(), 700), (world.controls(), 900)):
