A store that waits for its disk to be readable does not count as one that stood still

Cause: three real processes, one with a file in the place of its data folder for 7 s: it came back as it should, and logged event 508 (stood still, 7.75 s), for nothing told it that time went on. Change: the wait for the disk tells it. Ruled out: a longer limit for standing still, which guards deliveries.

--- a/emberlatch/cluster/message_store/disk_watch.py
+++ b/emberlatch/cluster/message_store/disk_watch.py
@@ -61,6 +61,7 @@
             except OSError as error:
                 self._error = str(error)
                 self.tick(loop.time())
+                self._ownership.tick(loop.time())  # it waits, and does not stand still
                 await asyncio.sleep(READ_AGAIN_S)
                 continue
             database.health.read()
