Two seeds are all machines that there are: they found the group without waiting for a third

Cause: a deployment of two stores was founded only after the patience for a third voter; operators of the simulation gave up before. A seed list of fewer than three names all machines that serve control. Also: the test of a damaged disk that is cut off hands its failing write to the storage, which takes one now. Measured: test_state's comparison of two stores and tests/simulation pass.

--- a/emberlatch/cluster/consensus/upkeep.py
+++ b/emberlatch/cluster/consensus/upkeep.py
@@ -21,6 +21,7 @@
 STEP_S = (0.2, 0.4)  # seconds between two steps, drawn
 PROPOSAL_PAUSE_S = 0.3  # seconds up to which a change that is due is left to another process
 PROPOSAL_TIMEOUT_S = 2.0
+SEED_COUNT = 3  # seeds that a process is told; fewer are all machines that there are
 FOUNDING_PATIENCE_S = 4.0  # seconds for each machine that lacks before the group is founded without it
 
 
@@ -94,9 +95,12 @@
             return None
         if state.voters != tuple(sorted(self._view.seats())):
             return None  # these are other seeds than this process was started with
-        found = first_voters(self._view.reports().values(), self._losses)
+        reports = self._view.reports().values()
+        found = first_voters(reports, self._losses)
         if found is None:
             return None
+        if len(state.voters) < SEED_COUNT and len(found.voters) == len(state.voters):
+            return found if len(found.voters) > self._losses.machines else None  # there are no others
         missing = self._losses.voters - len(found.voters)
         waited = self._view.now() - self._began >= missing * FOUNDING_PATIENCE_S
         return found if waited and len(found.voters) > self._losses.machines else None
--- a/tests/simulation/test_register_disk.py
+++ b/tests/simulation/test_register_disk.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from emberlatch.cluster.consensus import storage as storage_module
 from emberlatch.cluster.consensus.acceptor import AcceptorRecord
 from emberlatch.cluster.consensus.links import Unreachable
 from emberlatch.cluster.consensus.register import ControlRegister
@@ -17,19 +16,16 @@
 from emberlatch.cluster.consensus.storage import VOTE, RecordStorage
 
 
-def test_a_damaged_disk_stays_lost_if_its_new_identity_is_cut_off(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_damaged_disk_stays_lost_if_its_new_identity_is_cut_off(tmp_path: Path) -> None:
     """Its vote can't be read: the old identity may not come back without it, whatever is cut off."""
     RecordStorage(tmp_path, "a").create(ControlState(version=4), None)
     (tmp_path / VOTE).write_bytes(b"\xff damaged")
-    again = RecordStorage(tmp_path, "a")
-    assert again.load() is None
 
     def cut_off(path: Path, raw: bytes) -> None:
         raise OSError("no power")
 
-    monkeypatch.setattr(storage_module, "write_synced", cut_off)
+    again = RecordStorage(tmp_path, "a", cut_off)
+    assert again.load() is None
     with pytest.raises(OSError, match="no power"):
         again.create(ControlState(), None)
     assert RecordStorage(tmp_path, "a").load() is None
