--- a/emberlatch/cluster/consensus/acceptor.py
+++ b/emberlatch/cluster/consensus/acceptor.py
@@ -160,7 +160,7 @@
 
 
 def install(record: AcceptorRecord, state: ControlState) -> AcceptorRecord:
-    """A later state was chosen."""
-    if state.version <= record.state.version:
+    """A later state was chosen; one of another founding is never taken over."""
+    if not state.follows(record.state):
         return record
     return replace(record, state=state, promised=None, accepted=None, last_batch=None)
--- a/emberlatch/cluster/consensus/commands.py
+++ b/emberlatch/cluster/consensus/commands.py
@@ -24,15 +24,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Found:
-    """The first group of voters, and what the operators had ordered before there was one."""
+    """The first group of voters. `cluster` is drawn by whoever proposes it."""
 
     voters: tuple[Voter, ...]
+    cluster: str = ""
 
     def apply(self, state: ControlState) -> ControlState:
         """Only the first founding counts."""
         if state.version != 0:
             return state
-        return replace(state, voters=tuple(sorted(self.voters)), epoch=state.epoch + 1)
+        voters = tuple(sorted(self.voters))
+        return replace(state, voters=voters, cluster=self.cluster, epoch=state.epoch + 1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,8 +167,8 @@
 
 def _command_to_wire(command: Command) -> list[Any]:
     match command:
-        case Found(voters):
-            return ["found", _voters_to_wire(voters)]
+        case Found(voters, cluster):
+            return ["found", _voters_to_wire(voters), cluster]
         case SetVoters(epoch, voters):
             return ["voters", epoch, _voters_to_wire(voters)]
         case Configure(revision, text):
@@ -181,8 +183,8 @@
 
 def _command_from_wire(told: Any) -> Command:
     match told:
-        case ["found", voters]:
-            return Found(_voters_from_wire(voters))
+        case ["found", voters, str(cluster)]:
+            return Found(_voters_from_wire(voters), cluster)
         case ["voters", int(epoch), voters]:
             return SetVoters(epoch, _voters_from_wire(voters))
         case ["configure", int(revision), bytes(text)]:
--- a/emberlatch/cluster/consensus/maintenance.py
+++ b/emberlatch/cluster/consensus/maintenance.py
@@ -55,8 +55,8 @@
     return min(candidates, key=crowding, default=None)
 
 
-def first_voters(members: Iterable[MemberReport], losses: Losses) -> Found | None:
-    """The group to begin with; None if nobody may vote."""
+def first_voters(members: Iterable[MemberReport], losses: Losses, cluster: str = "") -> Found | None:
+    """The group to begin with, under this name; None if nobody may vote."""
     chosen: list[MemberReport] = []
     candidates = [m for m in members if m.counted and m.reachable]
     while candidates and len(chosen) < losses.voters:
@@ -64,7 +64,7 @@
         assert best is not None
         chosen.append(best)
         candidates.remove(best)
-    return Found(tuple(sorted(m.voter for m in chosen))) if chosen else None
+    return Found(tuple(sorted(m.voter for m in chosen)), cluster) if chosen else None
 
 
 def next_change(state: ControlState, members: Mapping[str, MemberReport], losses: Losses) -> Command | None:
@@ -80,15 +80,13 @@
         old, new = returned
         return _replaced(state, old, new)
     spare = _spare(state, members)
+    silent = next((v for v in state.voters if _silent(members.get(v.node))), None)
+    if silent is not None and spare is not None:  # before one that leaves, which still votes
+        return _replaced(state, silent, spare)
     leaving = next((v for v in state.voters if state.mark_of(v.node) is not None), None)
     if leaving is not None and (spare is not None or _may_shrink(state, leaving, members, losses)):
         return _replaced(state, leaving, spare)
-    silent = next((v for v in state.voters if _silent(members.get(v.node))), None)
-    if spare is None:
-        return None
-    if silent is not None:
-        return _replaced(state, silent, spare)
-    if len(state.voters) < losses.voters:
+    if spare is not None and len(state.voters) < losses.voters:
         return _replaced(state, None, spare)
     return None
 
--- a/emberlatch/cluster/consensus/proposer.py
+++ b/emberlatch/cluster/consensus/proposer.py
@@ -123,7 +123,7 @@
                 self._beaten(reply.promised)
             case Chosen() if reply.version == self.version:
                 self._overtaken(reply.batch, None)
-            case Snapshot() if reply.state.version >= self.version:
+            case Snapshot() if reply.state.follows(self.state):
                 self._overtaken(None, reply.state)
             case Behind():
                 return Install(self.state)
@@ -190,7 +190,7 @@
         """One reply."""
         if not isinstance(reply, ReadState) or self.outcome is not ReadOutcome.OPEN:
             return
-        if reply.version > self.state.version:
+        if reply.version > self.state.version and reply.voter in self.quorum.voters:
             self.outcome, self.newest = ReadOutcome.BEHIND, reply.voter
         elif reply.voter in self.quorum.survivors:
             if reply.pending and reply.version == self.state.version:
--- a/emberlatch/cluster/consensus/register.py
+++ b/emberlatch/cluster/consensus/register.py
@@ -165,14 +165,14 @@
 
     def _know(self, state: ControlState) -> None:
         """The one place in which the known state changes: it only grows."""
-        if state.version > self._state.version:
+        if state.follows(self._state):
             self._state = state
             self.changed(state)
 
     async def learn(self, state: ControlState) -> None:
         """A state that was chosen elsewhere."""
         self._know(state)
-        if self._record is not None and state.version > self._record.state.version:
+        if self._record is not None and state.follows(self._record.state):
             async with self._writing:
                 await self._keep(install(self._record, state))
 
--- a/emberlatch/cluster/consensus/state.py
+++ b/emberlatch/cluster/consensus/state.py
@@ -68,6 +68,7 @@
     history: tuple[tuple[int, str], ...] = ()  # (revision, digest of its text), oldest first
     decommissions: tuple[tuple[str, DecommissionMark], ...] = ()
     given_up: tuple[str, ...] = ()
+    cluster: str = ""  # drawn at the founding: states of another founding are never mixed with these
 
     @cached_property
     def by_revision(self) -> dict[int, str]:
@@ -77,7 +78,7 @@
     @cached_property
     def group(self) -> str:
         """Names the voters that decide the next version."""
-        told = f"{self.version} " + " ".join(f"{v.node}/{v.identity}" for v in self.voters)
+        told = f"{self.cluster} {self.version} " + " ".join(f"{v.node}/{v.identity}" for v in self.voters)
         return hashlib.sha256(told.encode()).hexdigest()[:16]
 
     @cached_property
@@ -96,6 +97,10 @@
         """Of the text in force; empty if there is none."""
         return self.by_revision.get(self.revision, "")
 
+    def follows(self, other: ControlState) -> bool:
+        """Whether this is a later state of the same founding, or the other was never founded."""
+        return self.version > other.version and other.cluster in ("", self.cluster)
+
     def status(self, revision: int, digest: str) -> RevisionStatus:
         """What became of a text under its revision."""
         known = self.by_revision.get(revision)
@@ -129,12 +134,13 @@
             [list(entry) for entry in self.history],
             [[node, int(mark)] for node, mark in self.decommissions],
             list(self.given_up),
+            self.cluster,
         ]
 
     @staticmethod
     def from_wire(told: Any) -> ControlState:
         """From what was sent; ValueError or TypeError if it is none."""
-        version, epoch, voters, revision, text, history, decommissions, given_up = told
+        version, epoch, voters, revision, text, history, decommissions, given_up, cluster = told
         return ControlState(
             int(version),
             int(epoch),
@@ -144,4 +150,5 @@
             tuple((int(number), str(digest)) for number, digest in history),
             tuple((str(node), DecommissionMark(mark)) for node, mark in decommissions),
             tuple(map(str, given_up)),
+            str(cluster),
         )
--- a/emberlatch/cluster/consensus/upkeep.py
+++ b/emberlatch/cluster/consensus/upkeep.py
@@ -50,6 +50,7 @@
     ) -> None:
         self._service, self._view, self._losses, self._chance = service, view, losses, chance
         self._began = view.now()
+        self._cluster = f"{chance.getrandbits(64):016x}"  # the name of the system if we are to found it
 
     async def run(self) -> None:
         """Step until cancelled."""
@@ -96,7 +97,7 @@
         if state.voters != tuple(sorted(self._view.seats())):
             return None  # these are other seeds than this process was started with
         reports = self._view.reports().values()
-        found = first_voters(reports, self._losses)
+        found = first_voters(reports, self._losses, self._cluster)
         if found is None:
             return None
         if len(state.voters) < SEED_COUNT and len(found.voters) == len(state.voters):
--- a/emberlatch/cluster/control_plane.py
+++ b/emberlatch/cluster/control_plane.py
@@ -31,6 +31,7 @@
 CONFIRM_S = 1.0  # seconds for one attempt to confirm the state that lay on disk
 CONFIRM_AGAIN_S = 0.1  # seconds between two attempts
 DISK_AGAIN_S = 0.5  # seconds between two attempts to open or write a disk that failed
+FOREIGN_VERSION = -1  # of a machine whose disk belongs to another founding: nothing is learned from it
 NOT_IN_CONTACT = -1  # told in place of a revision: others are not to go by ours
 
 
@@ -148,6 +149,9 @@
         before, self._known = self._known, state
         self._adopt(state)
         self.decommissions.changed(before, state)
+        for node in state.given_up:
+            if node not in before.given_up:
+                log_event(Event.MEMBER_LEFT, node)
         if state.epoch != before.epoch:
             voters = ",".join(voter.node for voter in state.voters)
             log_event(Event.CONTROL_STATE, f"version={state.version} epoch={state.epoch} voters={voters}")
@@ -171,7 +175,8 @@
         register, view = self.service.register, self._view
         version = register.record.state.version if register.record is not None else 0
         view.versions[self._settings.node] = version
-        told: dict[str, Any] = {"version": version, "epoch": register.state.epoch}
+        state = register.state
+        told: dict[str, Any] = {"version": version, "epoch": state.epoch, "cluster": state.cluster}
         told["identity"] = register.me.identity  # it may be drawn long after the links came up
         if register.disk_failing:
             told["votes"] = False
@@ -183,7 +188,11 @@
 
     def heard(self, peer: Peer, told: dict[str, Any]) -> None:
         """Another machine with a disk tells the same."""
-        self._view.versions[peer.name] = int(told.get("version", 0))
+        cluster = str(told.get("cluster", ""))
+        foreign = cluster not in ("", self.service.state.cluster) and self.service.state.cluster != ""
+        if foreign and self._view.versions.get(peer.name) != FOREIGN_VERSION:
+            log_event(Event.CONTROL_FOREIGN, peer.name, f"cluster={cluster}")
+        self._view.versions[peer.name] = FOREIGN_VERSION if foreign else int(told.get("version", 0))
         if identity := told.get("identity"):
             self._view.identities[peer.name] = str(identity)
         self._view.silence.report(peer.name, told.get("silent") or {}, self._view.now())
--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -36,6 +36,7 @@
     CONTROL_DISK_FAILING = 307
     CONTROL_DISK_BACK = 308
     CONTROL_DISK_EMPTY = 309
+    CONTROL_FOREIGN = 310
     TARGET_NEW = 401
     TARGET_DRAINING = 402
     TARGET_GONE = 403
@@ -140,6 +141,11 @@
         "no control state on disk",
         "A new identity was drawn: this machine has no vote until the others take it in.",
     ),
+    Event.CONTROL_FOREIGN: (
+        logging.ERROR,
+        "disk of another system",
+        "That machine's disk was founded elsewhere: it has no part here until the disk is emptied.",
+    ),
     Event.TARGET_NEW: (logging.INFO, "target new", "A target announced itself."),
     Event.TARGET_DRAINING: (logging.INFO, "target draining", "A target said that it leaves."),
     Event.TARGET_GONE: (
--- a/emberlatch/cluster/membership/view.py
+++ b/emberlatch/cluster/membership/view.py
@@ -133,7 +133,13 @@
 
     def silent(self, now: float) -> dict[str, float]:
         """The other stores that we do not hear, and for how many seconds."""
-        return {n: now - max(p.last_up, p.began) for n, p in self.stores().items() if not p.up}
+        stores = self.stores()
+        silent = {node: now - max(p.last_up, p.began) for node, p in stores.items() if not p.up}
+        for voter in self.control_state().voters:
+            known = voter.node == self.settings.node or voter.node in stores
+            if voter.identity and not known:  # no process that lives now has ever heard it
+                silent[voter.node] = now - self._began
+        return silent
 
     def silent_s(self, node: str) -> float:
         """For how many seconds a majority of the voters has not heard a machine."""
@@ -150,8 +156,8 @@
         self.silence.report(self.settings.node, self.silent(now), now)
         reports = {member.node: self._report(member) for member in self.roster.stores()}
         for voter in self.control_state().voters:
-            if voter.node not in reports:  # no process that lives now has ever heard it
-                silent_s = now - self._began
+            if voter.node not in reports:
+                silent_s = self._silent_s(voter.node, now)
                 reports[voter.node] = MemberReport(voter, "", "", True, False, silent_s, -1)
         return reports
 
--- a/tests/cluster/test_control_faults.py
+++ b/tests/cluster/test_control_faults.py
@@ -7,6 +7,9 @@
 
 from ward import each, test
 
+from emberlatch.cluster.consensus import AcceptorRecord, ControlState, Voter
+from emberlatch.cluster.consensus.storage import RecordStorage
+from emberlatch.cluster.control_plane import FOLDER
 from emberlatch.net.http import BrokenError
 from emberlatch.simulation.actors import ask
 from emberlatch.simulation.cluster import CONTROL
@@ -203,6 +206,29 @@
     play(Plan(55), scene)
 
 
+@test("a machine with the disk of another system changes nothing here, and learns nothing")
+def _() -> None:
+    async def scene(scene: Scenario) -> None:
+        world = scene.world
+        elsewhere = Voter("s2", "a disk from elsewhere")
+        state = ControlState(
+            version=40, epoch=4, voters=(elsewhere,), revision=99, text=world.text(99, 700), cluster="other"
+        )
+        storage = RecordStorage(world.nodes["s2"].folder / FOLDER, "s2")
+        storage.put(AcceptorRecord(elsewhere, None, state))
+        await scene.start()
+        assert await send_until_clear(scene, ["s0", "s1"], world.text(9, 700)) == 200
+        for node in ("s0", "s1"):
+            status, raw = await call(scene, node, "GET", RETRIEVE)
+            assert status == 200 and json.loads(raw)["revision"] == 9
+            program = world.nodes[node].program
+            assert program is not None and program.control is not None
+            assert program.control.service.state.cluster not in ("", "other")
+            assert "s2" not in {voter.node for voter in program.control.service.state.voters}
+
+    play(Plan(57), scene)
+
+
 @test(
     "300 changes while a machine is away: it returns with its old disk, catches up, and hands out nothing old"
 )
--- a/tests/simulation/test_maintenance.py
+++ b/tests/simulation/test_maintenance.py
@@ -31,6 +31,14 @@
     assert next_change(LEAVING, HEARD | {"a": silent}, Losses()) is None
 
 
+def test_a_silent_voter_is_replaced_before_one_that_leaves() -> None:
+    """Day 304031: the one that left was replaced first, and the next loss left one voter of three."""
+    members = HEARD | {"a": report("a", False, 9.0), "d": report("d")}
+    change = next_change(LEAVING, members, Losses())
+    assert isinstance(change, SetVoters)
+    assert {voter.node for voter in change.voters} == {"b", "c", "d"}
+
+
 def test_a_group_does_not_shrink_if_a_voter_that_stays_is_unknown() -> None:
     known = {node: member for node, member in HEARD.items() if node != "a"}
     assert next_change(LEAVING, known, Losses()) is None
