A message handed in again at its replica is not sent before the first store has been asked

Cause: taking over a message whose copy is here began its delivery at once, before the store that took it first said that a call of it is out (docs/incidents/twice-by-the-replica.md). Found by test_state, 5 ms, once other stores got the copies. Ruled out: to wait with the take until the claim is answered, which costs each second take a round. Change: LocalStore keeps which messages are being claimed, and begins none of them.

--- a/emberlatch/cluster/message_store/local_store.py
+++ b/emberlatch/cluster/message_store/local_store.py
@@ -40,6 +40,7 @@
 
     def __init__(self, me: str, index: RecordIndex, database: RecordDatabase) -> None:
         self.me, self.index, self.database = me, index, database
+        self.claiming: set[str] = set()  # messages that another store may deliver: it is being asked
         self.deliverer: Deliverer
         self.phase = Phase.STARTING
 
@@ -73,7 +74,7 @@
         self.index.changed(record)
         self.database.mark(record, self._now())
         self.database.settle()
-        if mine and not was_mine and self.delivers:
+        if mine and not was_mine and self.delivers and record.id not in self.claiming:
             self.deliverer.deliver(record)
         return True
 
--- a/emberlatch/cluster/message_store/replicator.py
+++ b/emberlatch/cluster/message_store/replicator.py
@@ -143,11 +143,13 @@
         if not self._enough([self.me, *(p.name for p in partners if not p.lagging)]):
             return {"ok": False, "clear": known is None, "why": "too few other stores answer"}
         taking = self._taking[id] = asyncio.get_running_loop().create_future()
+        self.local_store.claiming.add(id)
         try:
             answer = await self._take(told, epoch, known, partners)
             taking.set_result(answer)
         finally:
             del self._taking[id]
+            self.local_store.claiming.discard(id)
             if not taking.done():
                 taking.set_result({"ok": False, "clear": False, "why": "failed"})
         return answer
@@ -173,6 +175,7 @@
         own = self.local_store.standing()
         claimed = self._claim(record, told.get("maybe") or [])
         (have, asked), _ = await asyncio.gather(self._copies(record, partners), claimed)
+        self.local_store.claiming.discard(record.id)  # whoever may deliver it has said so by now
         stands = await own and self._enough([self.me, *have])
         if stands and not record.open and record.state is not State.VOID:
             return {"ok": True, "clear": False, "why": "ended"}
--- a/tests/cluster/test_state.py
+++ b/tests/cluster/test_state.py
@@ -6,7 +6,7 @@
 from ward import each, test
 
 from emberlatch.cluster.dispatch.carrier import Carrier
-from emberlatch.cluster.message_store import Phase, State
+from emberlatch.cluster.message_store import Phase, Record, State
 from emberlatch.cluster.rpc import peer
 from emberlatch.simulation.actors import Clients, ask
 from emberlatch.simulation.cluster import CONTROL
@@ -119,6 +119,37 @@
     assert not play(Plan(30), scene)[1]
 
 
+def open_record(scene: Scenario) -> Record | None:
+    """A message that waits at some store."""
+    programs = [node.program for node in scene.world.nodes.values() if node.store]
+    indexes = [program.replicator.local_store.index for program in programs]
+    return next((r for index in indexes for r in index.records.values() if r.open), None)
+
+
+@test(
+    "a message that is handed in again at the store that has its copy is not sent before the first is asked"
+)
+def _() -> None:
+    async def scene(scenario: Scenario) -> None:
+        await scenario.start()
+        world = scenario.world
+        for target in world.targets.values():
+            target.work = 0.5  # the first run is under way when the message comes again
+        for _ in range(6):
+            coming = asyncio.get_running_loop().create_task(hand_in(scenario, "f0"))
+            while not (record := open_record(scenario)):
+                await asyncio.sleep(0.0005)
+            replica = next(node for node in record.replicas if node != record.holder)
+            for other in {"s0", "s1", "s2"} - {replica}:
+                world.cut("f0", other, 1.0)
+            sent = await coming
+            assert sent.answer == 202
+            await asyncio.sleep(3.0)
+            assert len(world.history.runs[sent.id]) == 1, str(world.history.runs[sent.id])
+
+    assert not play(Plan(30), scene)[1]
+
+
 @test("a disk that stands still for seconds holds nobody up")
 def _() -> None:
     async def scene(scenario: Scenario) -> None:
