The growth command tells what one forwarder and the busiest store cost

Need: slopes for one member, not for the whole alone: frames and bytes both ways, a share of a core, memory. The processor's time is split by samples of the running process. Ruled out: timing each callback (what a connection receives runs inside callbacks of the network); renaming the connections in the product, which needs its own trial.

--- a/emberlatch/cluster/cli/growth.py
+++ b/emberlatch/cluster/cli/growth.py
@@ -5,11 +5,15 @@
 import json
 import logging
 import sys
+from dataclasses import asdict
 
 from emberlatch.simulation import mending
 from emberlatch.simulation.growth import Growth, measure
 
-HEAD = "forwarders stores  start MB  frames/s  of one  over kB/s  known s  cpu s/s"
+HEAD = (
+    "forwarders stores  start MB  frames/s  of one  over kB/s  known s  cpu s/s"
+    " | a forwarder: kB/s  cpu % | busiest store: kB/s  cpu % | peak MB"
+)
 
 
 def line(growth: Growth) -> str:
@@ -17,6 +21,8 @@
     return (
         f"{growth.forwarders:10d} {growth.stores:6d} {growth.start_over / 1e6:9.2f} {growth.frames:9.0f} "
         f"{growth.most_frames:7.0f} {growth.over / 1e3:10.1f} {growth.known_s:8.2f} {growth.cpu_s:8.3f}"
+        f" | {growth.forwarder.bytes / 1e3:17.2f} {growth.forwarder.processor * 100:6.2f}"
+        f" | {growth.store.bytes / 1e3:19.1f} {growth.store.processor * 100:6.1f} | {growth.peak_mb:7.0f}"
     )
 
 
@@ -41,8 +47,8 @@
     if not as_json:
         print(HEAD)
     for many, count in pairs:
-        found = measure(many, count, zones, targets)
-        print(json.dumps(vars(found)) if as_json else line(found), flush=True)
+        found = measure(many, count, zones, targets, sampled=True)
+        print(json.dumps(asdict(found)) if as_json else line(found), flush=True)
     return 0
 
 
