What one change of the control state costs, measured; a test that slopes do not rise

Need: docs/CAPACITY.md draws the control plane out to the target size from slopes that anybody can measure again.

--- a/emberlatch/simulation/disk.py
+++ b/emberlatch/simulation/disk.py
@@ -34,6 +34,8 @@
         self.sync_s = sync_s
         self.failed = 0  # writes that failed
         self.commits = 0  # commits of databases that succeeded
+        self.files = 0  # files put in place, each synced with its folder
+        self.file_bytes = 0
         self._fault, self._left = DiskFault.NONE, 0
         self._kept = False  # whether the last failed sync left what was written
 
@@ -102,3 +104,5 @@
                     write_synced(path, raw)
                 raise OSError(errno.EIO, os.strerror(errno.EIO))
         write_synced(path, raw)
+        self.files += 1
+        self.file_bytes += len(raw)
--- /dev/null
+++ b/tests/cluster/test_capacity.py
@@ -0,0 +1,70 @@
+"""What one forwarder and one voter send and get does not grow faster with the fleet than docs/CAPACITY.md says."""
+
+from __future__ import annotations
+
+from functools import cache
+
+from ward import test
+
+from emberlatch.cluster.node import FEW
+from emberlatch.cluster.rpc.peer import BEAT
+from emberlatch.simulation import control_cost
+from emberlatch.simulation.control_cost import ControlCost, Deployment
+from emberlatch.simulation.growth import Growth, MemberCost, measure
+
+CALM_S = 4.0
+TOLERANCE = 1.03  # the first and the last heartbeat of what is measured may be in or out
+TARGETS_FRAMES = 10.0  # a second, of one store with one target
+
+
+@cache
+def growth(forwarders: int, stores: int) -> Growth:
+    return measure(forwarders, stores, targets=1, calm_s=CALM_S)
+
+
+def frames(cost: MemberCost) -> float:
+    return cost.frames_sent + cost.frames_received
+
+
+@test("a forwarder's frames do not grow when forwarders double, or stores, or both")
+def _() -> None:
+    least = frames(growth(6, 6).forwarder)
+    assert 0 < least <= 2 * FEW / BEAT * TOLERANCE  # a question and its answer
+    for size in ((12, 6), (6, 12), (12, 12)):
+        assert frames(growth(*size).forwarder) <= least * TOLERANCE, size
+
+
+@test("a voter's frames grow by no more than its share of the forwarders' heartbeats")
+def _() -> None:
+    for stores in (6, 12):
+        few, many = frames(growth(6, stores).store), frames(growth(12, stores).store)
+        share = 2 * FEW / BEAT / stores  # of one forwarder's frames
+        assert 0 < many - few <= 6 * share * TOLERANCE, (stores, few, many)
+
+
+@test("a voter's frames are its share of the forwarders' heartbeats and those of each other store")
+def _() -> None:
+    for forwarders, stores in ((6, 6), (12, 6), (6, 12), (12, 12)):
+        of_forwarders = forwarders * 2 * FEW / BEAT / stores
+        of_stores = (stores - 1) * 2 * 2 / BEAT  # each asks the other, and is answered
+        most = (of_forwarders + of_stores) * TOLERANCE + TARGETS_FRAMES
+        assert frames(growth(forwarders, stores).store) <= most, (forwarders, stores)
+
+
+@cache
+def change(voters: int, stores: int, forwarders: int) -> ControlCost:
+    return control_cost.measure(Deployment(voters, stores, forwarders, rounds=5))
+
+
+@test("a change costs a voter as many synced files when stores and forwarders double")
+def _() -> None:
+    small, large = change(3, 6, 4), change(3, 12, 8)
+    assert 0 < large.files_busiest <= small.files_busiest + 0.5, (small, large)
+
+
+@test("a change costs two rounds to the voters, one call to each other store, and two to hand it over")
+def _() -> None:
+    for voters, stores, forwarders in ((3, 6, 4), (3, 12, 8)):
+        rounds, learners = 2 * (voters - 1), stores - 1
+        most = 2 * (rounds + learners + 2)  # the first machine has the preferred voter propose, and learns
+        assert most - 4 <= change(voters, stores, forwarders).methods["control state"].frames <= most
