--- a/emberlatch/cluster/cli/growth.py
+++ b/emberlatch/cluster/cli/growth.py
@@ -5,7 +5,7 @@
 import json
 import logging
 import sys
-from dataclasses import asdict
+from typing import Any
 
 from emberlatch.simulation import mending
 from emberlatch.simulation.growth import Growth, measure
@@ -26,6 +26,11 @@
     )
 
 
+def as_json_object(growth: Growth) -> dict[str, Any]:
+    """All of it, the costs of members as objects of their own."""
+    return vars(growth) | {"forwarder": vars(growth.forwarder), "store": vars(growth.store)}
+
+
 def _pairs(given: list[str], usual: list[str], words: str, least: int) -> list[tuple[int, int]] | None:
     """`A/B` items as numbers; None, and a line to standard error, if one can't be read."""
     pairs = list[tuple[int, int]]()
@@ -48,7 +53,7 @@
         print(HEAD)
     for many, count in pairs:
         found = measure(many, count, zones, targets, sampled=True)
-        print(json.dumps(asdict(found)) if as_json else line(found), flush=True)
+        print(json.dumps(as_json_object(found)) if as_json else line(found), flush=True)
     return 0
 
 
@@ -59,14 +64,14 @@
     if pairs is None:
         return 2
     if not as_json:
-        print("records lacking  frames     bytes     least  again B  cpu s  longest s")
+        print("records lacking  frames     bytes     least  again B  cpu s  longest s  peak MB")
     for records, lacking in pairs:
         told = mending.measure(records, min(records, lacking))
         print(
             json.dumps(vars(told))
             if as_json
             else f"{records:7d} {lacking:7d} {told.frames:7d} {told.bytes:9d} {told.least:9d} "
-            f"{told.again_bytes:8d} {told.cpu_s:6.2f} {told.longest_s:10.2f}",
+            f"{told.again_bytes:8d} {told.cpu_s:6.2f} {told.longest_s:10.2f} {told.peak_mb:8.0f}",
             flush=True,
         )
     return 0
--- a/emberlatch/simulation/mending.py
+++ b/emberlatch/simulation/mending.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+import resource
 import time
 from dataclasses import dataclass
 
 from emberlatch.cluster.message_store import Record, State
 from emberlatch.simulation.cluster import Plan, SimulatedCluster
+from emberlatch.simulation.growth import KIB_PER_MIB
 from emberlatch.simulation.scenario import Scenario, play
 
 BODY = 1000  # bytes of a message that waits
@@ -27,6 +29,7 @@
     cpu_s: float = 0.0
     longest_s: float = 0.0  # for which the loop did nothing else at a stretch
     again_bytes: int = 0  # of the next comparison, when both are alike
+    peak_mb: float = 0.0  # memory of this simulation; of the largest size that its process has played
 
 
 def measure(records: int, lacking: int, waiting: float = 0.02, seed: int = 1) -> Mending:
@@ -53,6 +56,7 @@
                 held = world.nodes["s1"].program.replicator.local_store.index.records  # type: ignore[union-attr]
                 assert len(held) == records, f"{len(held)} of {records} after mending"
         watch.cancel()
+        found.peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB_PER_MIB
 
     play(Plan(seed, zones=1, fronts=1, stores=2, targets=1), scene)
     return found
