--- a/tests/cluster/test_capacity.py
+++ b/tests/cluster/test_capacity.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from functools import cache
 
 from ward import test
 
+from emberlatch.cluster.cli.growth import as_json_object
 from emberlatch.cluster.node import FEW
 from emberlatch.cluster.rpc.peer import BEAT
 from emberlatch.simulation import control_cost
@@ -68,3 +70,10 @@
         rounds, learners = 2 * (voters - 1), stores - 1
         most = 2 * (rounds + learners + 2)  # the first machine has the preferred voter propose, and learns
         assert most - 4 <= change(voters, stores, forwarders).methods["control state"].frames <= most
+
+
+@test("what the growth command prints as JSON has the costs of members in it")
+def _() -> None:
+    told = json.loads(json.dumps(as_json_object(growth(6, 6))))
+    assert told["forwarder"]["frames_sent"] > 0 and told["store"]["bytes_received"] > 0
+    assert told["methods"]["beat"] > 0
