--- a/emberlatch/cluster/rpc/frames.py
+++ b/emberlatch/cluster/rpc/frames.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, fields
 from enum import IntEnum
+from operator import attrgetter
 from typing import Any
 
 import cbor2
@@ -96,16 +97,40 @@
 }
 """Every kind of frame there is."""
 
-_KINDS: dict[type[Any], FrameKind] = {frame: kind for kind, frame in FRAMES.items()}
-_KIND_NUMBERS = frozenset(int(kind) for kind in FrameKind)
-_FIELDS = {frame: [(f.name, str(f.type)) for f in fields(frame)] for frame in _KINDS}
+
+@dataclass(frozen=True, slots=True)
+class _Layout:
+    """How a frame's fields lie behind its kind; worked out once, for a frame is read for each message."""
+
+    frame: type[Frame]
+    kind: int
+    values: Callable[[Any], tuple[Any, ...]]
+    count: int
+    numbers: tuple[int, ...]  # places of whole numbers, not below 0
+    texts: tuple[int, ...]
+
+    @staticmethod
+    def of(kind: FrameKind, frame: type[Frame]) -> _Layout:
+        """The layout of one kind of frame."""
+        places = [(place, field.name, str(field.type)) for place, field in enumerate(fields(frame), 1)]
+        return _Layout(
+            frame,
+            int(kind),
+            attrgetter(*(name for _, name, _ in places)),
+            1 + len(places),
+            tuple(place for place, _, type_name in places if type_name == "int"),
+            tuple(place for place, _, type_name in places if type_name == "str"),
+        )
+
+
+_LAYOUTS = {int(kind): _Layout.of(kind, frame) for kind, frame in FRAMES.items()}
+_LAYOUT_OF: dict[type[Any], _Layout] = {layout.frame: layout for layout in _LAYOUTS.values()}
 
 
 def encode(frame: Frame) -> bytes:
     """A frame with its length, as it is sent."""
-    kind = type(frame)
-    items = [int(_KINDS[kind]), *(getattr(frame, name) for name, _ in _FIELDS[kind])]
-    body = cbor2.dumps(items)
+    layout = _LAYOUT_OF[type(frame)]
+    body = cbor2.dumps([layout.kind, *layout.values(frame)])
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
@@ -115,28 +140,20 @@
         items = cbor2.loads(body)
     except Exception as error:  # whatever a decoder makes of foreign bytes
         raise FrameError(f"no CBOR: {error!r}"[:200]) from None
-    if not isinstance(items, list) or not items or not _is_number(items[0]) or items[0] not in _KIND_NUMBERS:
+    if type(items) is not list or not items or type(items[0]) is not int:
         raise FrameError("no frame")
-    frame = FRAMES[FrameKind(items[0])]
-    expected = _FIELDS[frame]
-    if len(items) != 1 + len(expected):
-        raise FrameError(f"a {frame.__name__} of {len(items)} items")
-    for (name, kind), value in zip(expected, items[1:], strict=True):
-        if not _fits(kind, value):
-            raise FrameError(f"{frame.__name__}.{name}: {value!r:.40}")
-    return frame(*items[1:])
-
-
-def _is_number(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
-
-
-def _fits(kind: str, value: Any) -> bool:
-    if kind == "int":
-        return _is_number(value)
-    if kind == "str":
-        return isinstance(value, str)
-    return True
+    layout = _LAYOUTS.get(items[0])
+    if layout is None:
+        raise FrameError("no frame")
+    if len(items) != layout.count:
+        raise FrameError(f"a {layout.frame.__name__} of {len(items)} items")
+    for place in layout.numbers:
+        if type(items[place]) is not int or items[place] < 0:
+            raise FrameError(f"{layout.frame.__name__}, item {place}: {items[place]!r:.40}")
+    for place in layout.texts:
+        if type(items[place]) is not str:
+            raise FrameError(f"{layout.frame.__name__}, item {place}: {items[place]!r:.40}")
+    return layout.frame(*items[1:])
 
 
 class FrameReader:
@@ -148,13 +165,16 @@
     def feed(self, data: bytes) -> Iterator[Frame]:
         """The frames that are whole now, in order; FrameError at the first bytes that are none."""
         self._buffer += data
-        while len(self._buffer) >= LENGTH_BYTES:
-            length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
-            if length > MAX_FRAME_BYTES:
-                raise FrameError(f"a frame of {length} bytes")
-            end = LENGTH_BYTES + length
-            if len(self._buffer) < end:
-                return
-            body = bytes(self._buffer[LENGTH_BYTES:end])
-            del self._buffer[:end]
-            yield decode(body)
+        at = 0
+        try:
+            while len(self._buffer) - at >= LENGTH_BYTES:
+                start = at + LENGTH_BYTES
+                length = int.from_bytes(self._buffer[at:start], "big")
+                if length > MAX_FRAME_BYTES:
+                    raise FrameError(f"a frame of {length} bytes")
+                if len(self._buffer) < start + length:
+                    return
+                at = start + length
+                yield decode(bytes(self._buffer[start:at]))
+        finally:
+            del self._buffer[:at]
