The test of an unconfirmed notice kills only after the confirmation was read

Cause: the process was killed as soon as the stand-in had sent its 204; on a full machine it had not read it yet, and rightly told the notice again (one failure in a run of 1,605 tests, none in four alone).

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -139,6 +139,8 @@
             platform.notice_status = 204
             await process.start()
             assert await platform.notice() == first
+            while not any(b'"over"' in path.read_bytes() for path in (tmp_path / "state").iterdir()):
+                await asyncio.sleep(0.01)  # until the confirmation has been read, it is still owed
             await process.kill()
             await process.start()  # confirmed: no more is owed
             target.handler = accept
