A store that is emptied leaves queued copies to their owners, who know of each copy

Cause: while a store was emptied it copied all its records to other stores, also queued ones of other owners. The owner reports the end of a message to the replicas that its own record names, and did not learn of these copies before the next comparison, up to 5 s later. If the owner stopped before that, the store with the unknown copy took the message over and delivered it.

Change: only the owner of a queued message copies it to further stores, while it may still deliver. It notes the store as an unconfirmed replica before the copy is sent, so that an end during the call is reported there as well, and reports the new replicas to the other ones. A comparison now treats a copy that only the peer reports as a replica, and sends it the newer state at once. The copying of messages moved from `Repair` to `ReReplication`.

--- a/emberlatch/cluster/message_store/index.py
+++ b/emberlatch/cluster/message_store/index.py
@@ -113,15 +113,18 @@
     ) -> tuple[list[str], list[Record]]:
         """Return the ids of the copies there that outweigh ours, and our records that outweigh those there.
 
-        A copy that exists on one side only counts as outweighing.
+        A copy that exists on one side only counts as outweighing. The peer may report a copy that our record
+        does not name as a replica: that copy is compared as well.
         """
         ours = {r.id: r for r in self.shared_records(node, ranges)}
         newer_there = []
+        newer_here = [r for r in ours.values() if r.id not in theirs]
         for id, (state, epoch, owner) in theirs.items():
             record = self.records.get(id)
             if record is None or rank(state, epoch, owner) > record.rank:
                 newer_there.append(id)
-        newer_here = [r for r in ours.values() if r.id not in theirs or r.outweighs(*theirs[r.id])]
+            elif record.outweighs(state, epoch, owner):
+                newer_here.append(record)
         return newer_there, newer_here
 
     def owned_by(self, owner: str) -> list[Record]:
--- a/emberlatch/cluster/message_store/message_store.py
+++ b/emberlatch/cluster/message_store/message_store.py
@@ -15,6 +15,7 @@
 from emberlatch.cluster.message_store.local_store import LocalStore, Phase
 from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.ports import ChangeListener, ClusterView
+from emberlatch.cluster.message_store.re_replication import ReReplication
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.message_store.replication import Replication
 from emberlatch.cluster.message_store.retention import SWEEP_INTERVAL_S, DiskUsage, Retention
@@ -57,6 +58,7 @@
         self._listener = listener
         self.repair = Repair(local_store, tasks, cluster)
         self.ownership = Ownership(local_store, self.repair, cluster)
+        self.re_replication = ReReplication(local_store, self.repair, self.ownership, tasks, cluster)
         self.disk_watch = DiskWatch(local_store, self.repair, self.ownership, tasks, cluster, listener)
         self.replication = Replication(local_store, cluster)
         self.cancellation = Cancellation(local_store, cluster)
@@ -114,7 +116,7 @@
             self.ownership.take_over(now)
             self.repair.start_due(now)
             if self.local_store.delivers:
-                self.repair.re_replicate_if_due(now)
+                self.re_replication.start_if_due(now)
             if now - swept_at > SWEEP_INTERVAL_S:
                 swept_at = now
                 self._retention.sweep(now)
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -139,7 +139,7 @@
 
     # Takeover.
 
-    def _has_surely_stopped(self, peer: Peer, now: float) -> bool:
+    def has_surely_stopped(self, peer: Peer, now: float) -> bool:
         """Return whether a peer surely delivers nothing.
 
         Its process has ended, can't read its disk, or has lost contact with a majority of the voters.
@@ -161,7 +161,7 @@
         This process takes over a message only if it is the first live store in the message's `replicas`.
         """
         peers = self._cluster.stores().items()
-        stopped = {name for name, peer in peers if self._has_surely_stopped(peer, now)}
+        stopped = {name for name, peer in peers if self.has_surely_stopped(peer, now)}
         if not stopped or not self._local_store.delivers:
             return
         me, count = self._local_store.me, 0
--- a/emberlatch/cluster/message_store/record.py
+++ b/emberlatch/cluster/message_store/record.py
@@ -84,6 +84,7 @@
         "seal",
         "sent_at",
         "state",
+        "unconfirmed_replicas",
     )  # fmt: skip
 
     def __init__(
@@ -97,6 +98,8 @@
         self.owner = ""  # node name of the only store that delivers the message
         self.epoch = 0  # epoch of the ownership; increases with each new owner, see `ownership`
         self.replicas: tuple[str, ...] = ()
+        # Stores to which a copy was sent that they have not confirmed; neither stored nor sent.
+        self.unconfirmed_replicas: frozenset[str] = frozenset()
         self.attempts = 0
         self.config_revision = -1  # revision of the configuration under which the message was accepted
         self.sent_at = 0.0  # approximate time at which the client sent the message
@@ -110,6 +113,11 @@
         """Whether the message is queued for delivery."""
         return self.state is MessageState.QUEUED
 
+    @property
+    def possible_replicas(self) -> set[str]:
+        """The stores that have a copy, and those that may have one."""
+        return {*self.replicas, *self.unconfirmed_replicas, self.owner}
+
     def fingerprint(self) -> int:
         """Return a 64-bit hash that is equal for copies with equal state, epoch and owner."""
         text = f"{self.id} {self.state} {self.epoch} {self.owner}".encode()
--- a/emberlatch/cluster/message_store/state_commits.py
+++ b/emberlatch/cluster/message_store/state_commits.py
@@ -30,7 +30,7 @@
         self._local_store.merge(record, state, seal, record.epoch, record.owner, record.attempts)
         payload = CommitStateRequest((self._local_store.state_report(record),)).to_wire()
         stores = self._cluster.stores()
-        for node in {*record.replicas, record.owner}:
+        for node in record.possible_replicas:
             peer = stores.get(node)
             if peer is not None:  # a store that does not receive this gets the state when copies are compared
                 peer.notify(RpcMethod.COMMIT_STATE, payload)
--- /dev/null
+++ b/tests/cluster/test_replica_changes.py
@@ -0,0 +1,100 @@
+"""Scenarios in which the stores that have a copy of a message change before the message ends."""
+
+import asyncio
+from collections.abc import Callable
+
+from ward import each, test
+
+from emberlatch.cluster.message_store.repair import Repair
+from emberlatch.cluster.rpc import Peer, RpcMethod
+from emberlatch.simulation.cluster import SimulatedCluster
+from emberlatch.simulation.history import SentMessage
+from emberlatch.simulation.scenario import Scenario
+from tests.cluster.support import (
+    Plan,
+    call_control,
+    executed_more_than_once,
+    patched_attribute,
+    play,
+    submit,
+    submit_in_turn,
+    success_count,
+    until,
+)
+
+LEAVING = "s1"
+call_peer = Peer.call
+
+
+async def decommission(cluster: SimulatedCluster, store: str) -> None:
+    """Order that a store be emptied, wait until it is, and take it away with its disk."""
+    answer = await call_control(cluster, "s0", "POST", f"/api/retire/{store}/initiate", b'{"period_s":8}')
+    assert answer.status == 200
+    while (
+        b"completed" not in (await call_control(cluster, "s0", "GET", f"/api/retire/{store}/retrieve")).body
+    ):
+        await asyncio.sleep(0.05)
+    cluster.nodes[store].power_off(1000.0, wipe=True)
+
+
+def all_succeeded(cluster: SimulatedCluster, sent: list[SentMessage]) -> Callable[[], bool]:
+    return lambda: all(success_count(cluster, one.id) > 0 for one in sent)
+
+
+def replicas_of(cluster: SimulatedCluster, sent: list[SentMessage]) -> list[str]:
+    """Return the stores that have these messages, the owner first; all have to be on the same stores."""
+    indexes = [node.message_store.local_store.index for node in cluster.nodes.values() if node.is_store]
+    found = {index.records[one.id].replicas for index in indexes for one in sent if one.id in index.records}
+    assert len(found) == 1, f"the messages are on {found}"
+    return list(*found)
+
+
+# Guards against: the owner does not know of copies that a store makes while it is emptied, and does not report
+# the success to them; they run a second time when the owner is restarted (review, case 2).
+@test("messages that succeed after a store was emptied do not run again when {restarted} is restarted")
+def _(restarted: str = each("s0", "s2")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = await submit_in_turn(scenario, 60, delay_ms=1500)
+        await decommission(cluster, LEAVING)
+        assert not any(success_count(cluster, one.id) for one in sent), "the delay was too short"
+        await until(all_succeeded(cluster, sent))
+        cluster.nodes[restarted].terminate()
+        await asyncio.sleep(4.0)
+        assert not executed_more_than_once(cluster)
+
+    assert not play(Plan(61, stores=4), steps)[1]
+
+
+async def confirm_late(self: Peer, method: str, payload: object, timeout: float) -> object:
+    """Call a peer; the reply to records that were sent arrives 3 s late."""
+    reply = await call_peer(self, method, payload, timeout)
+    if method == RpcMethod.REPAIR:
+        await asyncio.sleep(3.0)
+    return reply
+
+
+# Guards against: a message succeeds while its owner copies it to one more store, which is not told.
+@test("messages that succeed before their new copies are confirmed do not run again when the owner stops")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f0", delay_ms=4000) for _ in range(20)]
+        owner, replica = replicas_of(cluster, sent)
+        cluster.nodes[replica].power_off(1000.0)
+        with (
+            patched_attribute(Peer, "call", confirm_late),
+            patched_attribute(Repair, "start_due", do_nothing),
+        ):
+            await until(all_succeeded(cluster, sent))
+            cluster.nodes[owner].terminate()
+            await asyncio.sleep(3.0)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(62, stores=4), steps)
+
+
+def do_nothing(*_: object) -> None:
+    """Do nothing: stores are not compared."""
