A hand-over is reported to all replicas, and chooses the store that would take over

What callers would see: with `resilience` of 2, messages that waited at a store run twice, each time at their success, when that store is stopped with SIGTERM.

Cause: a store that stops hands each message to one of its replicas and told nobody else. The other replica of three knew the stopped store as the owner, and took the message over after 0.25 s: the hand-over chose by the order of the links, the takeover by the order of the replicas. Both delivered, until a comparison found it, up to 5 s later.

Change: the hand-over chooses the first writable replica, as a takeover does, and then reports new owner, epoch and replicas to all other replicas, also to those that have not confirmed their copy.

--- a/emberlatch/cluster/message_store/local_store.py
+++ b/emberlatch/cluster/message_store/local_store.py
@@ -122,8 +122,7 @@
         return copy
 
     def _absorb_known(self, record: Record, copy: Record) -> Record:
-        if set(copy.replicas) - set(record.replicas):
-            self.add_replica_holders(record, copy.replicas)
+        self.add_replica_holders(record, copy.replicas)
         if record.body is None and copy.body is not None and copy.state <= MessageState.CANCELLED:
             self.index.fill_tombstone(record, copy)  # this store had only a tombstone
             self.database.put(record, self._now())
@@ -131,8 +130,10 @@
         return record
 
     def add_replica_holders(self, record: Record, nodes: Iterable[str]) -> None:
-        """Add stores that have a copy or are to receive one."""
-        self.set_replica_holders(record, (*record.replicas, *nodes))
+        """Add stores that have a copy or are to receive one; those that are named already change nothing."""
+        added = [node for node in nodes if node not in record.replicas]
+        if added:
+            self.set_replica_holders(record, (*record.replicas, *added))
 
     def set_replica_holders(self, record: Record, nodes: Iterable[str]) -> None:
         """Set the stores that have a copy or are to receive one."""
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -86,21 +86,24 @@
             log_event(Event.OWNERSHIP_HANDED_OVER, **counts)
 
     def _choose_owners(self, records: list[Record]) -> dict[str, list[Record]]:
-        """Choose a writable store for each owned record, preferably one that has a copy."""
+        """Choose a writable store for each owned record: the first of its replicas, if one is writable.
+
+        A replica that is not told takes the message over by the same order; see `take_over`.
+        """
         by_owner: dict[str, list[Record]] = {}
         writable = [peer.name for peer in self._cluster.writable_stores()]
         for position, record in enumerate(records):
             if writable and record.is_queued and record.owner == self._local_store.me:
                 fallback = writable[position % len(writable)]
-                owner = next((node for node in writable if node in record.replicas), fallback)
+                owner = next((node for node in record.replicas if node in writable), fallback)
                 by_owner.setdefault(owner, []).append(record)
         return by_owner
 
     async def _hand_over_to(self, peer: Peer, records: list[Record]) -> None:
         try:
             without_copy = [r for r in records if peer.name not in r.replicas]
-            for record in without_copy:
-                self._local_store.add_replica_holders(record, [peer.name])
+            for record in records:
+                self._local_store.add_replica_holders(record, [*record.unconfirmed_replicas, peer.name])
             await self._repair.send(peer, without_copy)
             request = AssumeOwnershipRequest(
                 tuple(OwnershipOffer(r.id, r.epoch + 1, r.attempts) for r in records)
@@ -109,11 +112,12 @@
             if missing:  # the peer has received no copy, or its disk accepts no writes
                 await self._repair.send(peer, [r for r in records if r.id in missing])
                 missing = await self._offer(peer, request)
-            for record in records:
-                if record.id not in missing:
-                    self._local_store.set_owner(record, record.epoch + 1, peer.name, record.attempts)
         except CallFailedError:
-            pass  # this process stays their owner here: its next incarnation or a takeover delivers them
+            return  # this process stays their owner here: its next incarnation or a takeover delivers them
+        accepted = [record for record in records if record.id not in missing]
+        for record in accepted:
+            self._local_store.set_owner(record, record.epoch + 1, peer.name, record.attempts)
+        await self._repair.report(accepted)
 
     @staticmethod
     async def _offer(peer: Peer, request: AssumeOwnershipRequest) -> set[str]:
--- a/emberlatch/cluster/message_store/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -96,7 +96,7 @@
         """
         for id in ids:
             record = self._local_store.index.records.get(id)
-            if record is not None and node not in record.replicas:
+            if record is not None:
                 self._local_store.add_replica_holders(record, [node])
 
     async def fetch(self, peer: Peer, ids: list[str]) -> None:
--- a/emberlatch/cluster/message_store/replication.py
+++ b/emberlatch/cluster/message_store/replication.py
@@ -81,8 +81,7 @@
         return outcome
 
     def _start(self, peer: Peer, record: Record) -> asyncio.Task[ReplicateReply]:
-        if peer.name not in record.replicas:
-            self._local_store.add_replica_holders(record, [peer.name])
+        self._local_store.add_replica_holders(record, [peer.name])
         return asyncio.get_running_loop().create_task(self._replicate_to(peer, record))
 
     async def _replicate_to(self, peer: Peer, record: Record) -> ReplicateReply:
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -96,5 +96,25 @@
     play(Plan(62, stores=4), steps)
 
 
+# Guards against: the owner tells only the new owner of a hand-over, and another replica takes the message over
+# from the stopped process as well, so that both deliver it.
+@test("messages that a store hands over when it stops are delivered by their new owner only (seed {seed})")
+def _(seed: int = each(1, 2, 3)) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = await submit_in_turn(scenario, 30, delay_ms=1200)
+        stopped = cluster.nodes["s1"]
+        assert stopped.message_store.local_store.index.owned_by("s1")
+        stopped.terminate()
+        await until(lambda: not stopped.up)
+        stopped.powered_off = True  # it is not started again
+        await until(all_succeeded(cluster, sent))
+        await asyncio.sleep(1.0)
+        assert not executed_more_than_once(cluster)
+
+    assert not play(Plan(seed, stores=5, tolerated_losses=2), steps)[1]
+
+
 def do_nothing(*_: object) -> None:
     """Do nothing: stores are not compared."""
