Records are sent, copied and fetched in frames that are bounded by bytes

Cause: messages with too few copies were copied in batches of 100 records, whatever their size. From about 84 kB a record on, a batch exceeds the largest frame, 8 MiB; the receiver closes the connection (event 204, "frame of ... bytes, at most 8388608 are allowed"). The copying was tried again every 0.25 s and never succeeded, and took the link down each time. On a related path, the reply to a store that fetches 200 records had no bound either.

Change: one pure function splits records into batches of at most 256 KiB, for what is sent, copied and fetched; a larger record is a batch of its own. A store that fetches asks again for what did not fit. Each batch of a copy is confirmed by itself.

--- a/emberlatch/cluster/message_store/local_store.py
+++ b/emberlatch/cluster/message_store/local_store.py
@@ -133,12 +133,8 @@
         """Add stores that have a copy or are to receive one; those that are named already change nothing."""
         added = [node for node in nodes if node not in record.replicas]
         if added:
-            self.set_replica_holders(record, (*record.replicas, *added))
-
-    def set_replica_holders(self, record: Record, nodes: Iterable[str]) -> None:
-        """Set the stores that have a copy or are to receive one."""
-        self.index.set_replicas(record, dict.fromkeys(nodes))
-        self._write_update(record)
+            self.index.set_replicas(record, dict.fromkeys((*record.replicas, *added)))
+            self._write_update(record)
 
     def _write_update(self, record: Record) -> None:
         self.database.update(record, self._now())
--- a/emberlatch/cluster/message_store/re_replication.py
+++ b/emberlatch/cluster/message_store/re_replication.py
@@ -15,11 +15,11 @@
 from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import MessageState, Record
-from emberlatch.cluster.message_store.repair import Repair, split
+from emberlatch.cluster.message_store.record_batches import split_by_size
+from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import CallFailedError, Peer
 from emberlatch.engine import Tasks
 
-MAX_COPIED_RECORDS = 100  # maximum number of records in one batch of additional copies
 UNREACHABLE_AFTER_S = 1.5  # copies on a machine that is down for longer are not counted
 SCAN_INTERVAL_S = 0.25  # interval of scans for messages with too few copies
 
@@ -97,12 +97,12 @@
         allowed = [record for record in records if self._may_copy(record)]
         copied = 0
         for name, assigned in self._plan_copies(allowed, counted, peers).items():
-            for part in split(assigned, MAX_COPIED_RECORDS):
+            for batch in split_by_size(assigned):
                 try:
-                    await self._copy(peers[name], part)
+                    await self._copy(peers[name], batch)
                 except CallFailedError:
                     break
-                copied += len(part)
+                copied += len(batch)
         return copied
 
     def _may_copy(self, record: Record) -> bool:
--- a/emberlatch/cluster/message_store/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -18,11 +18,10 @@
 )
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import Record, WireRecord
+from emberlatch.cluster.message_store.record_batches import split_by_size
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
 from emberlatch.engine import Tasks
 
-MAX_BATCH_BYTES = 256 * 1024  # a batch is sent once its records exceed this size
-RECORD_OVERHEAD_BYTES = 300  # estimated size of a record in a frame without its body
 MAX_REQUESTED_RECORDS = 200  # maximum number of ids in one RECORDS request
 MAX_REPORTED_RECORDS = 500  # maximum number of records without bodies in one REPAIR request
 REPORT_TIMEOUT_S = 0.5  # timeout of a report of owners and replicas
@@ -102,29 +101,41 @@
     async def fetch(self, peer: Peer, ids: list[str]) -> None:
         """Fetch and merge a peer's copies of these messages. Raises CallFailedError if the peer fails."""
         for part in split(ids, MAX_REQUESTED_RECORDS):
-            request = MessageIds(tuple(part))
-            reply = await peer.call(RpcMethod.RECORDS, request.to_wire(), CALL_TIMEOUT_S)
-            self._absorb(RecordBatch.from_wire(reply))
-
-    def _absorb(self, batch: RecordBatch) -> None:
-        for copy in batch.decode(asyncio.get_running_loop().time()):
+            missing = part
+            while missing and (received := await self._fetch_batch(peer, missing)):
+                missing = [id for id in missing if id not in received]
+
+    async def _fetch_batch(self, peer: Peer, ids: list[str]) -> set[str]:
+        """Fetch and merge as many of a peer's copies as it sends in one frame; return their ids."""
+        reply = await peer.call(RpcMethod.RECORDS, MessageIds(tuple(ids)).to_wire(), CALL_TIMEOUT_S)
+        return self._absorb(RecordBatch.from_wire(reply))
+
+    def _absorb(self, batch: RecordBatch) -> set[str]:
+        """Add or merge received copies; return their ids."""
+        copies = batch.decode(asyncio.get_running_loop().time())
+        for copy in copies:
             self._local_store.absorb(copy)
+        return {copy.id for copy in copies}
 
     async def send(self, peer: Peer, records: list[Record]) -> None:
         """Send records. Raises CallFailedError if the peer does not confirm that they are on its disk."""
-        batch, size = list[WireRecord](), 0
-        for record in records:
-            batch.append(self._local_store.to_wire(record))
-            size += RECORD_OVERHEAD_BYTES + len(record.body or b"")
-            if size > MAX_BATCH_BYTES:
-                await self._send_batch(peer, batch)
-                batch, size = [], 0
-        if batch:
-            await self._send_batch(peer, batch)
+        for batch in split_by_size(records):
+            await self.send_batch(peer, batch)
 
     async def send_batch(self, peer: Peer, records: list[Record]) -> None:
-        """Send records in one frame. Raises CallFailedError if the peer does not confirm them as durable."""
-        await self._send_batch(peer, [self._local_store.to_wire(record) for record in records])
+        """Send a batch of `split_by_size` in one frame.
+
+        Raises CallFailedError if the peer does not confirm that the records are on its disk.
+        """
+        batch = RecordBatch([self._local_store.to_wire(record) for record in records])
+        reply = await peer.call(RpcMethod.REPAIR, batch.to_wire(), CALL_TIMEOUT_S)
+        if not DurableReply.from_wire(reply).durable:
+            raise CallFailedError(
+                RpcMethod.REPAIR,
+                peer.name,
+                f"got durable=False for {len(records)} records, expected True",
+                True,
+            )
 
     async def report(self, records: list[Record]) -> None:
         """Report state, owner and replicas of records to all other stores that may have a copy.
@@ -145,18 +156,6 @@
             for part in split(records, MAX_REPORTED_RECORDS):
                 await peer.call(RpcMethod.REPAIR, RecordBatch(part).to_wire(), REPORT_TIMEOUT_S)
 
-    @staticmethod
-    async def _send_batch(peer: Peer, records: list[WireRecord]) -> None:
-        batch = RecordBatch(records)
-        reply = await peer.call(RpcMethod.REPAIR, batch.to_wire(), CALL_TIMEOUT_S)
-        if not DurableReply.from_wire(reply).durable:
-            raise CallFailedError(
-                RpcMethod.REPAIR,
-                peer.name,
-                f"got durable=False for {len(records)} records, expected True",
-                True,
-            )
-
     # Requests from other stores.
 
     def compare_digests(self, node: str, theirs: RangeDigests) -> RangeDifferences:
@@ -164,10 +163,14 @@
         return self._local_store.index.differences(node, theirs.digests)
 
     def records(self, request: MessageIds) -> RecordBatch:
-        """Handle RECORDS: return those of the requested records that this store has."""
+        """Handle RECORDS: return the first of the requested records that this store has.
+
+        The caller asks again for those that do not fit into one frame.
+        """
         records = self._local_store.index.records
-        found = (records.get(id) for id in request.ids)
-        return RecordBatch([self._local_store.to_wire(record) for record in found if record is not None])
+        found = (records[id] for id in request.ids if id in records)
+        batch = next(split_by_size(found), [])
+        return RecordBatch([self._local_store.to_wire(record) for record in batch])
 
     async def receive(self, batch: RecordBatch) -> DurableReply:
         """Handle REPAIR: merge the records that another store sends; reply whether they are on disk."""
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -16,6 +16,7 @@
     executed_more_than_once,
     patched_attribute,
     play,
+    stores_with_durable_copy,
     submit,
     submit_in_turn,
     success_count,
@@ -28,11 +29,11 @@
 
 async def decommission(cluster: SimulatedCluster, store: str) -> None:
     """Order that a store be emptied, wait until it is, and take it away with its disk."""
-    answer = await call_control(cluster, "s0", "POST", f"/api/retire/{store}/initiate", b'{"period_s":8}')
-    assert answer.status == 200
-    while (
-        b"completed" not in (await call_control(cluster, "s0", "GET", f"/api/retire/{store}/retrieve")).body
-    ):
+    path = f"/api/retire/{store}"
+    assert (await call_control(cluster, "s2", "POST", f"{path}/initiate", b'{"period_s":8}')).status == 200
+    end = cluster.loop.time() + 10.0
+    while b"completed" not in (await call_control(cluster, "s2", "GET", f"{path}/retrieve")).body:
+        assert cluster.loop.time() < end, f"{store} is not empty after 10 s"
         await asyncio.sleep(0.05)
     cluster.nodes[store].power_off(1000.0, wipe=True)
 
@@ -116,5 +117,47 @@
     assert not play(Plan(seed, stores=5, tolerated_losses=2), steps)[1]
 
 
+# Guards against: a batch of large messages exceeds the largest frame, so that the copies that are missing
+# after a store was lost are never made, and the next lost disk takes messages along (review, case 3).
+@test("messages of 200,000 bytes are on two disks again after the store with their replicas was {event}")
+def _(event: str = each("lost", "emptied")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f0", 60_000, bytes(200_000)) for _ in range(120)]
+        _, replica = replicas_of(cluster, sent)
+        if event == "emptied":
+            await decommission(cluster, replica)
+        else:
+            cluster.nodes[replica].power_off(1000.0, wipe=True)
+            await asyncio.sleep(10.0)
+        few = [one.id for one in sent if len({*stores_with_durable_copy(cluster, one.id)} - {replica}) < 2]
+        assert not few, f"{len(few)} of {len(sent)} messages are on fewer than two disks"
+
+    play(Plan(62, stores=4), steps)
+
+
+# Guards against: the reply to a store that fetches large messages exceeds the largest frame, so that a store
+# with an empty disk gets none of them from a peer that can't send them by itself.
+@test("a store with an empty disk fetches messages of 200,000 bytes")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f0", 60_000, bytes(200_000)) for _ in range(100)]
+        _, replica = replicas_of(cluster, sent)
+        with patched_attribute(Repair, "send", do_nothing_async):
+            cluster.nodes[replica].power_off(0.5, wipe=True)
+            await asyncio.sleep(8.0)
+        store = cluster.nodes[replica].message_store.local_store
+        assert all(one.id in store.index.records for one in sent)
+
+    play(Plan(62, stores=4), steps)
+
+
+async def do_nothing_async(*_: object) -> None:
+    """Send nothing: a store gets only what it fetches."""
+
+
 def do_nothing(*_: object) -> None:
     """Do nothing: stores are not compared."""
