A frame that is too large is refused where it is made, and leaves the connection open

Cause: only the receiver compared a frame with the largest size. It closed the connection as malformed, and with it went all outstanding calls of others; the sender retried the same frame.

Change: `encode` raises `FrameTooLargeError`. A request fails with `CallFailedError` that surely had no effect, a response becomes an error response, a notification is dropped; event 208 names peer, method and size.

--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -34,6 +34,7 @@
     MEMBER_JOINED = 205
     MEMBER_REMOVED = 206
     UNEXPECTED_MESSAGE = 207
+    FRAME_TOO_LARGE = 208
     CONFIG_APPLIED = 301
     CONFIG_REJECTED = 302
     CONFIG_COMMITTED = 303
@@ -129,6 +130,11 @@
         "An unexpected response or request, or an unexpected peer (`kind` says which), was dropped; see "
         "[calls](calls.md).",
     ),
+    Event.FRAME_TOO_LARGE: _error(
+        "frame too large",
+        "A request, response or notification (`method`) exceeds the largest frame and was not sent; the call "
+        "fails, the connection stays open.",
+    ),
     Event.CONFIG_APPLIED: _info("configuration applied", "A revision is in force in this process."),
     Event.CONFIG_REJECTED: _warning(
         "configuration rejected",
--- a/emberlatch/cluster/rpc/connection.py
+++ b/emberlatch/cluster/rpc/connection.py
@@ -17,7 +17,7 @@
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.rpc.call_table import CallTable, PendingCall
 from emberlatch.cluster.rpc.counters import TrafficCounters, UnexpectedMessage
-from emberlatch.cluster.rpc.errors import CallFailedError, ForeignPeerError, FrameError
+from emberlatch.cluster.rpc.errors import CallFailedError, ForeignPeerError, FrameError, FrameTooLargeError
 from emberlatch.cluster.rpc.frames import (
     VERSION,
     ErrorResponse,
@@ -153,9 +153,15 @@
             response.set_exception(error)
             return PendingCall(0, response)
         number = self._endpoint.next_request_number()
-        self._calls.add(number, response, loop.time())
         request = Request(number, self._endpoint.incarnation.number, remote.number, method, payload)
-        self._send(request, method, number)
+        try:
+            data = encode(request)
+        except FrameTooLargeError as error:
+            self._log_too_large(method, error)
+            response.set_exception(CallFailedError(method, self.name, str(error), False))
+            return PendingCall(0, response)
+        self._calls.add(number, response, loop.time())
+        self._send_encoded(data, method, number)
         return PendingCall(number, response)
 
     def abandon(self, call: PendingCall) -> bool:
@@ -170,9 +176,16 @@
         return not withdrawn
 
     def notify(self, method: str, payload: object) -> None:
-        """Send a message that has no response; do nothing if the connection is not established."""
-        if not self.closed and self.remote is not None:
+        """Send a message that has no response.
+
+        Nothing is sent if the connection is not established, or if the frame would be too large.
+        """
+        if self.closed or self.remote is None:
+            return
+        try:
             self._send(Notification(method, payload), method)
+        except FrameTooLargeError as error:
+            self._log_too_large(method, error)
 
     def send_response(self, data: bytes, method: str) -> None:
         """Queue an encoded response to a request of this method."""
@@ -190,8 +203,11 @@
         local = self._endpoint.incarnation
         self._send(Identify(VERSION, local.node, local.number, expected.node, expected.number), "greeting")
 
-    def _send(self, frame: Frame, counted_as: str, request_number: int | None = None) -> None:
-        self._send_encoded(encode(frame), counted_as, request_number)
+    def _log_too_large(self, method: str, error: FrameTooLargeError) -> None:
+        log_event(Event.FRAME_TOO_LARGE, peer=self.name, method=method, size=error.size)
+
+    def _send(self, frame: Frame, counted_as: str) -> None:
+        self._send_encoded(encode(frame), counted_as)
 
     def _send_encoded(self, data: bytes, counted_as: str, request_number: int | None = None) -> None:
         if self.closed:
--- a/emberlatch/cluster/rpc/errors.py
+++ b/emberlatch/cluster/rpc/errors.py
@@ -24,6 +24,14 @@
     """Received bytes are not a valid frame, or the frame is not allowed now. The connection is closed."""
 
 
+class FrameTooLargeError(FrameError):
+    """A frame exceeds the largest size that a receiver accepts. It is not sent."""
+
+    def __init__(self, size: int, limit: int) -> None:
+        super().__init__(f"frame of {size} bytes, at most {limit} are allowed")
+        self.size, self.limit = size, limit
+
+
 class CallFailedError(RpcError):
     """A call ended without a result.
 
--- a/emberlatch/cluster/rpc/frames.py
+++ b/emberlatch/cluster/rpc/frames.py
@@ -14,7 +14,7 @@
 
 import cbor2
 
-from emberlatch.cluster.rpc.errors import FrameError
+from emberlatch.cluster.rpc.errors import FrameError, FrameTooLargeError
 
 VERSION = 2  # protocol version; processes of different versions do not connect
 LENGTH_BYTES = 4
@@ -133,9 +133,14 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """The encoded frame, prefixed with its length."""
+    """The encoded frame, prefixed with its length.
+
+    Raises FrameTooLargeError if the receiver would close the connection because of the frame's size.
+    """
     layout = _LAYOUT_OF[type(frame)]
     body = cbor2.dumps([layout.kind, *layout.field_values(frame)])
+    if len(body) > MAX_FRAME_BYTES:
+        raise FrameTooLargeError(len(body), MAX_FRAME_BYTES)
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
@@ -186,7 +191,7 @@
                 start = end + LENGTH_BYTES
                 length = int.from_bytes(self._buffer[end:start], "big")
                 if length > MAX_FRAME_BYTES:
-                    raise FrameError(f"frame of {length} bytes, at most {MAX_FRAME_BYTES} are allowed")
+                    raise FrameTooLargeError(length, MAX_FRAME_BYTES)
                 if len(self._buffer) < start + length:
                     return
                 end = start + length
--- a/emberlatch/cluster/rpc/request_server.py
+++ b/emberlatch/cluster/rpc/request_server.py
@@ -10,7 +10,7 @@
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.rpc.counters import UnexpectedMessage
 from emberlatch.cluster.rpc.dedupe import CallKey, CompletedCalls
-from emberlatch.cluster.rpc.errors import CallFailedError
+from emberlatch.cluster.rpc.errors import CallFailedError, FrameTooLargeError
 from emberlatch.cluster.rpc.frames import ErrorResponse, Notification, Request, Response, encode
 from emberlatch.cluster.rpc.incarnation import Incarnation
 from emberlatch.cluster.rpc.methods import runs_once
@@ -117,10 +117,15 @@
         self._send(request, response, key)
 
     def _send(self, request: Request, response: Response | ErrorResponse, key: CallKey | None) -> None:
-        data = encode(response)
+        try:
+            data = encode(response)
+        except FrameTooLargeError as error:
+            log_event(Event.FRAME_TOO_LARGE, peer=self._channel.name, method=request.method, size=error.size)
+            return self._send_error(request, error, key)
         if key is not None:
             self._completed.finish(key, data)
         self._channel.send_response(data, request.method)
+        return None
 
     def _log_failure(self, method: str, error: Exception) -> None:
         log_event(
--- a/tests/cluster/test_rpc.py
+++ b/tests/cluster/test_rpc.py
@@ -17,6 +17,7 @@
     Incarnation,
     LocalEndpoint,
     PeerState,
+    RpcConnection,
     TrafficCounters,
     UnexpectedMessage,
 )
@@ -276,6 +277,32 @@
     run_in_world(steps)
 
 
+class BytesReceiver(Receiver):
+    """A receiver that returns as many bytes as it is asked for."""
+
+    def _serve(self, connection: RpcConnection, method: str, payload: Any) -> Any:
+        return bytes(payload) if isinstance(payload, int) else len(payload)
+
+
+# Guards against: a frame over the limit is sent, the receiver closes the connection, and all other calls fail.
+@test("a frame that is too large is not sent: its call fails, and other calls on the connection succeed")
+def _() -> None:
+    async def steps(world: World) -> None:
+        BytesReceiver(world)
+        connection = await world.connect(world.caller_endpoint(), TrafficCounters())
+        other = connection.call("take", 3)
+        request = connection.call("take", bytes(MAX_FRAME_BYTES))
+        response = connection.call("take", MAX_FRAME_BYTES)
+        connection.notify("take", bytes(MAX_FRAME_BYTES))
+        refused, unanswered = await outcome(request.response), await outcome(response.response)
+        assert isinstance(refused, CallFailedError) and not refused.may_have_arrived
+        assert isinstance(unanswered, CallFailedError) and unanswered.may_have_arrived
+        assert await other.response == bytes(3) and not connection.closed
+        assert connection.oldest_unanswered_s() == 0.0
+
+    run_in_world(steps)
+
+
 @test("responses in another order than the requests reach the right calls")
 def _() -> None:
     async def steps(world: World) -> None:
