--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -88,7 +88,7 @@
     def _choose_owners(self, records: list[Record]) -> dict[str, list[Record]]:
         """Choose a writable store for each owned record: the first of its replicas, if one is writable.
 
-        A replica that is not told takes the message over by the same order; see `take_over`.
+        A replica that misses the hand-over's report chooses by the same order; see `take_over`.
         """
         by_owner: dict[str, list[Record]] = {}
         writable = [peer.name for peer in self._cluster.writable_stores()]
