While a store is emptied, owners do not count copies on disks that accept no writes

Cause: the store that is emptied relies only on disks that accept writes; the owner of a message counted any machine that is up. Since the owners make the copies, the order would have waited as long as a disk of a replica stayed full.

--- a/emberlatch/cluster/message_store/re_replication.py
+++ b/emberlatch/cluster/message_store/re_replication.py
@@ -65,13 +65,20 @@
             self._running = False
 
     def _reachable(self, now: float) -> set[str]:
-        """Return the machines whose copies are counted."""
+        """Return the machines whose copies are counted.
+
+        While a store is being emptied, copies on disks that accept no writes are not counted: that store does
+        not rely on them either, and would wait for more copies.
+        """
         recently_up = {
             node
             for node, peer in self._cluster.stores().items()
             if peer.up or now - max(peer.last_up_at, peer.created_at) < UNREACHABLE_AFTER_S
         }
-        return ({self._local_store.me} | recently_up) - self._cluster.decommissioning_stores()
+        decommissioning = self._cluster.decommissioning_stores()
+        if recently_up & decommissioning:
+            recently_up = {node for node in recently_up if self._cluster.is_disk_writable(node)}
+        return ({self._local_store.me} | recently_up) - decommissioning
 
     # Counting copies.
 
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -11,6 +11,8 @@
 from emberlatch.simulation.history import SentMessage
 from emberlatch.simulation.scenario import Scenario
 from tests.cluster.support import (
+    Fault,
+    FaultKind,
     Plan,
     call_control,
     executed_more_than_once,
@@ -97,6 +99,26 @@
     play(Plan(62, stores=4), steps)
 
 
+# Guards against: the store that is emptied does not count a copy on a disk that can't be written, but the owner
+# does, so that neither of them makes one more.
+@test("when a store is emptied, its messages come on two disks besides one that is full")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f0", 30_000) for _ in range(20)]
+        owner, replica = replicas_of(cluster, sent)
+        scenario.apply_fault(Fault(0.0, FaultKind.DISK_FULL, owner, 60.0))
+        await submit(scenario, "f0", 30_000)  # a write shows the fault
+        path = f"/api/retire/{replica}/initiate"
+        assert (await call_control(cluster, "s2", "POST", path, b'{"period_s":8}')).status == 200
+        await asyncio.sleep(4.0)
+        copies = [{*stores_with_durable_copy(cluster, one.id)} - {owner, replica} for one in sent]
+        assert all(len(nodes) == 2 for nodes in copies)
+
+    play(Plan(62, stores=4), steps)
+
+
 # Guards against: the owner tells only the new owner of a hand-over, and another replica takes the message over
 # from the stopped process as well, so that both deliver it.
 @test("messages that a store hands over when it stops are delivered by their new owner only (seed {seed})")
