A store that receives a queued copy of an ended message reports the end at once

Cause: a copy that the owner does not know of reached it with a comparison, and its store learned the end with the comparison after that one, 5 s later; until then it could take the message over and run it again.

Change: whoever merges a received queued copy into a record that has ended reports the end to all stores that may have a copy.

Evidence: the new test failed before and passes now.

--- a/emberlatch/cluster/message_store/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -17,7 +17,7 @@
     RecordBatch,
 )
 from emberlatch.cluster.message_store.ports import ClusterView
-from emberlatch.cluster.message_store.record import Record, WireRecord
+from emberlatch.cluster.message_store.record import MessageState, Record, WireRecord
 from emberlatch.cluster.message_store.record_batches import split_by_size
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
 from emberlatch.engine import Tasks
@@ -111,10 +111,19 @@
         return self._absorb(RecordBatch.from_wire(reply))
 
     def _absorb(self, batch: RecordBatch) -> set[str]:
-        """Add or merge received copies; return their ids."""
+        """Add or merge received copies; return their ids.
+
+        A queued copy of a message that has ended here shows that a store has not learned of the end: all that
+        may have a copy get a report.
+        """
         copies = batch.decode(asyncio.get_running_loop().time())
+        ended = list[Record]()
         for copy in copies:
-            self._local_store.absorb(copy)
+            record = self._local_store.absorb(copy)
+            if copy.is_queued and record is not None and record.state > MessageState.CANCELLED:
+                ended.append(record)
+        if ended:
+            self._tasks.spawn(self.report(ended))
         return {copy.id for copy in copies}
 
     async def send(self, peer: Peer, records: list[Record]) -> None:
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -5,6 +5,7 @@
 
 from ward import each, test
 
+from emberlatch.cluster.message_store import Record
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import Peer, RpcMethod
 from emberlatch.simulation.cluster import SimulatedCluster
@@ -119,6 +120,31 @@
     play(Plan(62, stores=4), steps)
 
 
+# Guards against: a store keeps a queued copy of a message that has ended until the second comparison with it.
+@test("a store that sends a queued copy of an ended message learns the end at once")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f0", 500) for _ in range(10)]
+        owner, replica = replicas_of(cluster, sent)
+        stores = {name: cluster.nodes[name].message_store.local_store for name in ("s1", owner)}
+        now = cluster.loop.time()
+        for one in sent:  # s1 has a copy that the owner does not know of
+            stale = stores[owner].index.records[one.id].to_wire(now, one.body)
+            stores["s1"].absorb(Record.from_wire(stale, now))
+        await until(all_succeeded(cluster, sent))
+        repair = cluster.nodes["s1"].message_store.repair
+        program = cluster.nodes["s1"].program
+        assert program is not None and "s1" not in (owner, replica)
+        await repair.repair_peer(program.membership.stores()[owner])
+        await asyncio.sleep(0.1)
+        assert not [one.id for one in sent if stores["s1"].index.records[one.id].is_queued]
+
+    with patched_attribute(Repair, "start_due", do_nothing):
+        play(Plan(62, stores=4), steps)
+
+
 # Guards against: the owner tells only the new owner of a hand-over, and another replica takes the message over
 # from the stopped process as well, so that both deliver it.
 @test("messages that a store hands over when it stops are delivered by their new owner only (seed {seed})")
