Reports of replicas are bounded by bytes, and a fetch ends if it makes no progress

Cause, by reading: 500 records with paths of 16 kB without their bodies are as large as a frame; a peer that answers a fetch with other records than the requested ones was asked for ever.

Evidence: a property test over 3,000 drawn records up to the largest body and path (batches fit into an eighth of a frame, lose nothing, and none could take the next one's first record).

--- a/emberlatch/cluster/message_store/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -17,13 +17,12 @@
     RecordBatch,
 )
 from emberlatch.cluster.message_store.ports import ClusterView
-from emberlatch.cluster.message_store.record import MessageState, Record, WireRecord
+from emberlatch.cluster.message_store.record import MessageState, Record
 from emberlatch.cluster.message_store.record_batches import split_by_size
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
 from emberlatch.engine import Tasks
 
 MAX_REQUESTED_RECORDS = 200  # maximum number of ids in one RECORDS request
-MAX_REPORTED_RECORDS = 500  # maximum number of records without bodies in one REPAIR request
 REPORT_TIMEOUT_S = 0.5  # timeout of a report of owners and replicas
 COMPARE_INTERVAL_S = 5.0  # interval of comparisons with a peer that stays up
 CALL_TIMEOUT_S = 2.0  # timeout of one call to a peer
@@ -101,8 +100,9 @@
     async def fetch(self, peer: Peer, ids: list[str]) -> None:
         """Fetch and merge a peer's copies of these messages. Raises CallFailedError if the peer fails."""
         for part in split(ids, MAX_REQUESTED_RECORDS):
-            missing = part
-            while missing and (received := await self._fetch_batch(peer, missing)):
+            missing, received = part, set(part)
+            while missing and received:
+                received = await self._fetch_batch(peer, missing) & set(missing)
                 missing = [id for id in missing if id not in received]
 
     async def _fetch_batch(self, peer: Peer, ids: list[str]) -> set[str]:
@@ -151,19 +151,20 @@
 
         A store that can't be reached learns them when copies are compared.
         """
-        by_node: dict[str, list[WireRecord]] = {}
-        now = asyncio.get_running_loop().time()
+        by_node: dict[str, list[Record]] = {}
         for record in records:
             for node in record.possible_replicas - {self._local_store.me}:
-                by_node.setdefault(node, []).append(record.to_wire(now, None))
+                by_node.setdefault(node, []).append(record)
         stores = self._cluster.stores()
         reports = (self._send_report(stores[n], theirs) for n, theirs in by_node.items() if n in stores)
         await asyncio.gather(*reports)
 
-    async def _send_report(self, peer: Peer, records: list[WireRecord]) -> None:
+    async def _send_report(self, peer: Peer, records: list[Record]) -> None:
         with contextlib.suppress(CallFailedError):
-            for part in split(records, MAX_REPORTED_RECORDS):
-                await peer.call(RpcMethod.REPAIR, RecordBatch(part).to_wire(), REPORT_TIMEOUT_S)
+            for batch in split_by_size(records, with_bodies=False):
+                now = asyncio.get_running_loop().time()
+                report = RecordBatch([record.to_wire(now, None) for record in batch])
+                await peer.call(RpcMethod.REPAIR, report.to_wire(), REPORT_TIMEOUT_S)
 
     # Requests from other stores.
 
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -1,13 +1,17 @@
 """Scenarios in which the stores that have a copy of a message change before the message ends."""
 
 import asyncio
+import itertools
+import random
 from collections.abc import Callable
 
 from ward import each, test
 
 from emberlatch.cluster.message_store import Record
+from emberlatch.cluster.message_store.record_batches import MAX_BATCH_BYTES, record_bytes, split_by_size
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import Peer, RpcMethod
+from emberlatch.cluster.rpc.frames import MAX_FRAME_BYTES, Request, encode
 from emberlatch.simulation.cluster import SimulatedCluster
 from emberlatch.simulation.history import SentMessage
 from emberlatch.simulation.scenario import Scenario
@@ -19,6 +23,7 @@
     executed_more_than_once,
     patched_attribute,
     play,
+    record,
     stores_with_durable_copy,
     submit,
     submit_in_turn,
@@ -203,6 +208,30 @@
     play(Plan(62, stores=4), steps)
 
 
+@test(
+    "batches of records fit into a frame, contain every record in order, and are as few as their sizes allow"
+)
+def _() -> None:
+    rng = random.Random(64)
+    records = []
+    for number in range(3000):
+        drawn = record(f"{number}")
+        drawn.body = bytes(rng.choice((0, 600, 30_000, 262_144)))
+        drawn.path = "/" * rng.choice((10, 16_000))
+        records.append(drawn)
+    now = 0.0
+    for with_bodies in (True, False):
+        batches = list(split_by_size(records, with_bodies))
+        assert [one for batch in batches for one in batch] == records
+        for batch in batches:
+            payload = [one.to_wire(now, one.body if with_bodies else None) for one in batch]
+            size = len(encode(Request(1, 1, 1, RpcMethod.REPAIR, payload)))
+            assert size < MAX_FRAME_BYTES / 8
+        pairs = itertools.pairwise(batches)
+        full = (sum(record_bytes(one, with_bodies) for one in [*batch, after[0]]) for batch, after in pairs)
+        assert all(size > MAX_BATCH_BYTES for size in full)
+
+
 async def do_nothing_async(*_: object) -> None:
     """Send nothing: a store gets only what it fetches."""
 
