--- a/review/lab2.py
+++ b/review/lab2.py
@@ -109,11 +109,20 @@
     """A small deployment on loopback addresses, and all that was seen of it."""
 
     def __init__(
-        self, folder: Path, stores: dict[str, str], fronts: dict[str, str], machines: int = 1
+        self,
+        folder: Path,
+        stores: dict[str, str],
+        fronts: dict[str, str],
+        machines: int = 1,
+        later: dict[str, str] | None = None,
     ) -> None:
-        """`stores` and `fronts` are the zones of the machines by name; `machines` is the resilience."""
+        """`stores`, `fronts` and `later` are the zones of the machines by name; `machines` is the resilience.
+
+        The machines in `later` are stores that `begin` does not start.
+        """
         self.folder = folder
-        self.zones = stores | fronts
+        self.later = later or {}
+        self.zones = stores | fronts | self.later
         self.stores, self.fronts = list(stores), list(fronts)
         self.machines = machines
         self.scratch = Path(tempfile.mkdtemp(prefix="emberlatch-review-"))
@@ -157,7 +166,7 @@
         return self.hosts[name], self.ports[what]
 
     def _settings(self, name: str, first: bool) -> str:
-        is_store, host = name in self.stores, self.hosts[name]
+        is_store, host = name not in self.fronts, self.hosts[name]
         seeds = [f"{self.hosts[s]}:{self.ports['control']}" for s in self.stores[:3]]
         zones = sorted(set(self.zones.values()))
         lines = [
@@ -191,7 +200,7 @@
         """Start a process with the command of the deploy file."""
         settings = self.scratch / f"{name}.toml"
         settings.write_text(self._settings(name, first))
-        role = "store" if name in self.stores else "ingress"
+        role = "ingress" if name in self.fronts else "store"
         command = DEPLOY["roles"][role]["run"].split()
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env |= {"EMBERLATCH_BOOT": str(settings), "PYTHONPATH": str(ROOT / "target/deps")}
@@ -234,7 +243,7 @@
 
     async def begin(self, configuration: dict[str, object], targets: list[Target]) -> None:
         """Start all machines and targets, send the configuration, and wait until the fronts are ready."""
-        for name in self.zones:
+        for name in [*self.stores, *self.fronts]:
             self.start(name, True)
         for target in targets:
             await target.start()
@@ -260,9 +269,11 @@
             return False
         return status == 200
 
-    async def control(self, method: str, path: str, body: bytes = b"", at: str = "") -> tuple[int, bytes]:
+    async def control(
+        self, method: str, path: str, body: bytes = b"", at: str = "", for_s: float = 20.0
+    ) -> tuple[int, bytes]:
         """Call `control` as the operator does: another machine after a failure, a 5xx or silence."""
-        until, pause = self.now() + 20.0, 0.1
+        until, pause, last = self.now() + for_s, 0.1, (0, b"")
         names = [at] if at else list(self.stores)
         while self.now() < until:
             self.random.shuffle(names)
@@ -274,11 +285,12 @@
                     self.note(f"operator {method} {path} at {name}: no answer")
                     continue
                 self.note(f"operator {method} {path} at {name}: {status} {answer[:200]!r}")
+                last = status, answer
                 if status < 500 and status not in (408, 429):
-                    return status, answer
+                    return last
             await asyncio.sleep(pause)
             pause = min(1.0, pause * 2)
-        raise CouldNotRun(f"no answer to {method} {path}")
+        return last
 
     async def configure(self, configuration: dict[str, object]) -> None:
         body = json.dumps(configuration).encode()
