--- a/review/lab2.py
+++ b/review/lab2.py
@@ -430,7 +430,12 @@
 
 
 class Target:
-    """A sound target: it runs each message that it has a slot for, and answers 200 with a seal."""
+    """A sound target: it runs each message that it has a slot for, and answers 200 with a seal.
+
+    With a `failure` it answers each run with that status.
+    """
+
+    failure = 0
 
     def __init__(
         self, lab: Lab, id: str, service: str, zone: str, capacity: int = 8, work_s: float = 0.05
@@ -526,12 +531,16 @@
                 await self.work(id, run)
             finally:
                 self._running -= 1
-        seal = f"{self.lab.random.getrandbits(32):08x}.{self.id}"
-        run.status = 200
-        self.write(writer, 200, id, f"Emberlatch-Server-Seal: {seal}\r\n")
+        if self.failure:
+            run.status = self.failure
+            self.write(writer, self.failure, id)
+        else:
+            run.status = 200
+            seal = f"{self.lab.random.getrandbits(32):08x}.{self.id}"
+            self.write(writer, 200, id, f"Emberlatch-Server-Seal: {seal}\r\n")
         await writer.drain()
         run.answered_at = self.lab.now()
-        self.lab.note(f"success of {id} at {self.id}")
+        self.lab.note(f"answer {run.status} for {id} at {self.id}")
         return None
 
     async def work(self, id: str, run: Run) -> None:
