--- a/review/4/run.py
+++ b/review/4/run.py
@@ -21,6 +21,7 @@
     service_fields,
 )
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 ROUTE = Route("r-1", "desk.example", "/d/", "desk")
 STORES = {"store-a": "hall-a", "store-b": "hall-b", "store-c": "hall-c"}
 RETIRED, GONE, SUCCESSOR = "store-a", "store-b", "store-b2"
@@ -74,7 +75,7 @@
 
 main(
     play,
-    Path(__file__).resolve().parent,
+    RECORD,
     stores=STORES,
     fronts={"front-a": "hall-a", "front-c": "hall-c"},
     later={SUCCESSOR: "hall-b"},
--- a/review/6/run.py
+++ b/review/6/run.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from lab2 import TROUBLE, Lab, Route, Target, configuration, main, service_fields
 
+RECORD = Path(__file__).resolve().with_name("record.txt")  # what was sent, answered and run
 ROUTE = Route("r-1", "desk.example", "/d/", "desk")
 STORES = {"store-a": "hall-a", "store-b": "hall-b", "store-c": "hall-c", "store-d": "hall-d"}
 RETIRED = "store-a"  # in the zone of the fronts, so it is given their messages
@@ -63,4 +64,4 @@
     return not (states["queued"] and end - last_success > QUIET_S)
 
 
-main(play, Path(__file__).resolve().parent, stores=STORES, fronts={"front-a": "hall-a", "front-b": "hall-a"})
+main(play, RECORD, stores=STORES, fronts={"front-a": "hall-a", "front-b": "hall-a"})
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -110,7 +110,7 @@
 
     def __init__(
         self,
-        folder: Path,
+        record: Path,
         stores: dict[str, str],
         fronts: dict[str, str],
         machines: int = 1,
@@ -118,9 +118,9 @@
     ) -> None:
         """`stores`, `fronts` and `later` are the zones of the machines by name; `machines` is the resilience.
 
-        The machines in `later` are stores that `begin` does not start.
+        The machines in `later` are stores that `begin` does not start. `record` is the file that gets what
+        was sent, answered and run.
         """
-        self.folder = folder
         self.later = later or {}
         self.zones = stores | fronts | self.later
         self.stores, self.fronts = list(stores), list(fronts)
@@ -128,7 +128,7 @@
         self.scratch = Path(tempfile.mkdtemp(prefix="emberlatch-review-"))
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.began = time.monotonic()
-        self.record = (folder / "record.txt").open("w")
+        self.record = record.open("w", buffering=1)  # by line: complete even if the run is cut
         self.random = random.Random()
         self.hosts, self.ports = self._addresses()
         self.messages: dict[str, Message] = {}
@@ -552,14 +552,14 @@
         writer.write(f"{head}{repeated}{more}\r\n".encode())
 
 
-def main(play, folder: Path, **deployment) -> None:  # type: ignore[no-untyped-def]
+def main(play, record: Path, **deployment) -> None:  # type: ignore[no-untyped-def]
     """Play a case: `play(lab)` returns whether the rule held. Ends the script with its exit code."""
     lab = None
     code = COULD_NOT_RUN
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
-        lab = Lab(folder, **deployment)
+        lab = Lab(record, **deployment)
 
         async def limited() -> bool:
             async with asyncio.timeout(TIME_LIMIT_S):
