--- a/emberlatch/cluster/consensus/coordinator.py
+++ b/emberlatch/cluster/consensus/coordinator.py
@@ -1,7 +1,7 @@
 """Has commands decided: queues submitted commands and proposes them in batches, one version after another.
 
-The first reachable voter is the preferred proposer. Other processes delegate commands to it, so that
-proposers seldom collide. This is only an optimization: safety depends on the ballots alone.
+The first reachable voter with a disk is the preferred proposer. Other processes delegate commands to it, so
+that proposers seldom collide. This is only an optimization: safety depends on the ballots alone.
 """
 
 from __future__ import annotations
@@ -78,7 +78,7 @@
 
     def _preferred_proposer(self) -> str | None:
         reachable = {*self._client.transport.reachable_nodes(), self._register.local_voter.node}
-        voters = self._register.state.voters
+        voters = (voter for voter in self._register.state.voters if not voter.is_witness)
         return next((voter.node for voter in voters if voter.node in reachable), None)
 
     async def _delegate(self, node: str, batch: Batch) -> None:
--- a/emberlatch/cluster/consensus/maintenance.py
+++ b/emberlatch/cluster/consensus/maintenance.py
@@ -25,13 +25,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """The information that a process has about a machine with a disk.
+    """The information that a process has about a machine with a disk, or about a witness.
 
     `voter` has the node and the identity on its disk, as the machine reports them. `counted` is True if the
-    machine may vote and its loss must be tolerated. `reachable` says whether this process can call the
-    machine. `unreachable_s` is the number of seconds for which a majority of the voters has not reached it, 0
-    if they reach it. `version` is the version of the state on its disk. `cluster` is the name of the cluster
-    to which its disk belongs, empty before the founding.
+    machine has a disk, may vote, and its loss must be tolerated. `reachable` says whether this process can
+    call the machine; of a process that may become a witness, whether it called this one recently.
+    `unreachable_s` is the number of seconds for which a majority of the voters has not reached it, 0 if they
+    reach it. `version` is the version of the state on its disk. `cluster` is the name of the cluster to which
+    its disk belongs, empty before the founding. `ending` is True if it is a witness that is shutting down.
     """
 
     voter: Voter
@@ -42,6 +43,7 @@
     unreachable_s: float
     version: int
     cluster: str = ""
+    ending: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,33 +104,80 @@
         return _replace_voter(state, old, new)
     spare = _best_spare(state, members)
     unreachable = next((v for v in state.voters if _lacks_contact(members.get(v.node))), None)
-    if unreachable is not None and spare is not None:
+    if unreachable is not None:
         # Replace an unreachable voter before a decommissioned one, because the latter still votes.
-        return _replace_voter(state, unreachable, spare)
+        replacement = spare or (_best_witness(state, members) if unreachable.is_witness else None)
+        if replacement is not None or _may_drop(state, unreachable):
+            return _replace_voter(state, unreachable, replacement)
     leaving = next((v for v in state.voters if state.decommission_mark(v.node) is not None), None)
-    if leaving is not None and (spare is not None or _may_shrink(state, leaving, members, tolerance)):
-        return _replace_voter(state, leaving, spare)
-    if spare is not None and len(state.voters) < tolerance.voters:
+    if leaving is not None:
+        if spare is not None:
+            return _replace_voter(state, leaving, spare)
+        if _may_shrink(state, leaving, members, tolerance):
+            return _replace_voter(state, leaving, _best_witness(state, members))
+    if spare is not None:
+        return _admit_spare(state, spare, tolerance)
+    return _admit_witness(state, members, tolerance)
+
+
+def _admit_spare(state: ControlState, spare: MemberReport, tolerance: FaultTolerance) -> SetVoters | None:
+    """Return the change by which a spare fills a vacant place or that of a witness."""
+    if len(state.voters) < tolerance.voters:
         return _replace_voter(state, None, spare)
+    if state.witnesses:
+        return _replace_voter(state, state.witnesses[0], spare)
     return None
 
 
+def _admit_witness(state: ControlState, members: Members, tolerance: FaultTolerance) -> SetVoters | None:
+    """Return the change by which a witness fills a vacant place that no machine with a disk can fill.
+
+    Without it, a group that is smaller than `tolerance` asks for may lose its majority with a tolerated
+    loss. The voters with a disk stay more numerous than the witnesses: they are a majority by themselves,
+    also after all processes have restarted.
+    """
+    disks = len(state.voters) - len(state.witnesses)
+    if len(state.voters) >= tolerance.voters or len(state.witnesses) + 1 >= disks:
+        return None
+    witness = _best_witness(state, members)
+    if witness is None or _awaits_spare(state, members):
+        return None
+    return _replace_voter(state, None, witness)
+
+
+def _may_drop(state: ControlState, unreachable: Voter) -> bool:
+    """Whether the group may lose an unreachable voter with a disk although no spare can replace it.
+
+    Only a group with witnesses drops it. While it waits for a spare, it would have no majority if a witness
+    ended. Voters with a disk must remain that suffice after the end of all witnesses. The dropped machine
+    becomes a voter again as a spare.
+    """
+    witnesses = len(state.witnesses)
+    disks = len(state.voters) - witnesses
+    return 0 < witnesses < disks and not unreachable.is_witness
+
+
 def _may_shrink(state: ControlState, leaving: Voter, members: Members, tolerance: FaultTolerance) -> bool:
     """Whether the group may lose the voter `leaving` although no spare can replace it.
 
-    At least `tolerance.machines` + 1 voters must remain. The group does not shrink while another
+    At least `tolerance.machines` + 1 voters with a disk must remain. The group does not shrink while another
     machine could still become a spare, nor while a remaining voter is unreachable. If that voter were lost
     permanently, the smaller group might have no majority and could not even replace the voter.
     """
-    if len(state.voters) <= tolerance.machines + 1:
+    if len(state.voters) - len(state.witnesses) <= tolerance.machines + 1:
         return False
-    nodes = {voter.node for voter in state.voters}
-    if any(_may_become_spare(state, m) for node, m in members.items() if node not in nodes):
+    if _awaits_spare(state, members):
         return False
     staying = [members.get(voter.node) for voter in state.voters if voter != leaving]
     return all(m is not None and m.reachable and m.unreachable_s == 0.0 for m in staying)
 
 
+def _awaits_spare(state: ControlState, members: Members) -> bool:
+    """Whether a machine without a vote could still become a spare."""
+    nodes = {voter.node for voter in state.voters}
+    return any(_may_become_spare(state, m) for node, m in members.items() if node not in nodes)
+
+
 def _may_become_spare(state: ControlState, member: MemberReport) -> bool:
     node = member.voter.node
     return member.counted and state.decommission_mark(node) is None and node not in state.removed_members
@@ -167,8 +216,13 @@
 
 
 def _is_eligible(state: ControlState, member: MemberReport) -> bool:
-    """Whether a machine may become a voter: it votes at once, so it must already have the newest state."""
+    """Whether a machine may become a voter.
+
+    It votes at once, so its disk must already have the newest state.
+    """
     same_cluster = member.cluster == state.cluster
+    if member.voter.is_witness:
+        return member.reachable  # a proposer sends it the newest state with the first request
     up_to_date = member.counted and member.reachable and same_cluster and member.version >= state.version
     return up_to_date and bool(member.voter.identity) and state.decommission_mark(member.voter.node) is None
 
@@ -177,20 +231,38 @@
     """Return the eligible machine without a vote that spreads the voters best over regions and zones."""
     placed = [members[v.node] for v in state.voters if v.node in members and _has_contact(members[v.node])]
     nodes = {voter.node for voter in state.voters}
-    eligible = [m for node, m in members.items() if node not in nodes and _is_eligible(state, m)]
+    eligible = [
+        member
+        for node, member in members.items()
+        if node not in nodes and not member.voter.is_witness and _is_eligible(state, member)
+    ]
     return _best_spread(placed, eligible)
 
 
+def _best_witness(state: ControlState, members: Members) -> MemberReport | None:
+    """Return the reachable process without a disk that spreads the voters best over regions and zones."""
+    placed = [members[v.node] for v in state.voters if v.node in members]
+    nodes = {voter.node for voter in state.voters}
+    candidates = [
+        member
+        for node, member in members.items()
+        if node not in nodes and member.voter.is_witness and member.reachable
+    ]
+    return _best_spread(placed, candidates)
+
+
 def _has_contact(member: MemberReport) -> bool:
     return member.unreachable_s < REPLACE_VOTER_AFTER_S
 
 
 def _lacks_contact(member: MemberReport | None) -> bool:
-    return member is not None and not _has_contact(member)
+    return member is not None and (member.ending or not _has_contact(member))
 
 
 def _member_change(state: ControlState, members: Members) -> Command | None:
     for node, member in sorted(members.items()):
+        if member.voter.is_witness:
+            continue  # it stores no messages, so nothing waits for it
         if node in state.removed_members:
             if member.reachable and member.unreachable_s == 0.0:
                 return ReadmitMember(node)
--- a/emberlatch/cluster/consensus/maintenance_loop.py
+++ b/emberlatch/cluster/consensus/maintenance_loop.py
@@ -21,6 +21,7 @@
     member_to_join,
     next_change,
 )
+from emberlatch.cluster.consensus.requests import Install
 from emberlatch.cluster.consensus.service import ControlService
 from emberlatch.cluster.consensus.state import ControlState, Voter
 
@@ -35,7 +36,9 @@
     """The information that this process has about the machines with a disk, itself included."""
 
     def reports(self) -> Mapping[str, MemberReport]:
-        """Return a report on every known machine and on every voter, by node.
+        """Return a report on every known machine with a disk and on every voter, by node.
+
+        Besides these, it has a process without a disk that may become a witness, if there is one.
 
         Voters that never contacted this incarnation are included. Otherwise a voter that stays unreachable
         after all processes have restarted would never be replaced.
@@ -69,8 +72,9 @@
             await self.step()
 
     async def step(self) -> None:
-        """Learn newer states from other machines, and have the change that is due decided."""
+        """Exchange newer states with other machines, and have the change that is due decided."""
         await self._learn()
+        await self._update_witnesses()
         due = self._due_change()
         if due is None:
             return
@@ -85,7 +89,7 @@
         others = [m for m in self._view.reports().values() if m.reachable and m.voter != register.local_voter]
         with contextlib.suppress(UnreachableError):
             if state.version == 0:
-                member = member_to_join(state, others)
+                member = member_to_join(state, (m for m in others if not m.voter.is_witness))
                 if member is not None:
                     await client.join(member.voter.node, member.cluster)
                 return
@@ -94,6 +98,18 @@
             if newest is not None and newest.version > self._local_version():
                 await client.fetch(newest.voter.node)
 
+    async def _update_witnesses(self) -> None:
+        """Send the newest state to witnesses that lack it: they fetch none by themselves."""
+        state = self._service.state
+        if not state.witnesses:
+            return
+        reports = self._view.reports()
+        for voter in state.witnesses:
+            member = reports.get(voter.node)
+            if member is not None and member.reachable and member.version < state.version:
+                with contextlib.suppress(UnreachableError):  # the next step tries again
+                    await self._service.client.call(voter.node, Install(state))
+
     def _local_version(self) -> int:
         """Return the version on disk, so that a state that could not be written is fetched again.
 
--- a/emberlatch/cluster/consensus/proposer.py
+++ b/emberlatch/cluster/consensus/proposer.py
@@ -37,6 +37,10 @@
     smaller group. If there are fewer survivors than votes needed, the votes of all survivors are enough, but
     only if each possible majority includes a survivor. This is so in a group of two, four or six that has
     lost half of its voters.
+
+    In a group with witnesses a majority is enough in phase 2 too. Otherwise a batch that a voter on its only
+    reachable disk has accepted could neither be decided nor be superseded by the change that replaces the
+    other disk. Whoever acknowledges a batch to an operator there also waits until it is durable.
     """
 
     voters: tuple[Voter, ...]
@@ -67,8 +71,15 @@
 
     def satisfies_accept(self, votes: set[Voter]) -> bool:
         """Whether a batch that these voters accepted is chosen."""
+        if any(voter.is_witness for voter in self.voters):
+            return self._suffices(votes, self.majority)
         return self._suffices(votes, max(self.majority, min(self.min_disks, len(self.voters))))
 
+    def satisfies_durable(self, votes: set[Voter]) -> bool:
+        """Whether a chosen state that these voters have is on as many disks as an acknowledgement needs."""
+        disks = {voter for voter in self.survivors if not voter.is_witness}
+        return self.satisfies_accept(votes) and len(votes & disks) >= min(self.min_disks, len(disks))
+
 
 class Stage(Enum):
     """The progress of an attempt."""
@@ -210,6 +221,6 @@
         if current or not self.require_durable:
             self._votes.add(reply.voter)
         quorum = self.quorum
-        satisfies = quorum.satisfies_accept if self.require_durable else quorum.satisfies_prepare
+        satisfies = quorum.satisfies_durable if self.require_durable else quorum.satisfies_prepare
         if satisfies(self._votes):
             self.outcome = ReadOutcome.CONFIRMED
--- a/emberlatch/cluster/consensus/service.py
+++ b/emberlatch/cluster/consensus/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from emberlatch.cluster.consensus.acceptor import AcceptorRecord
@@ -59,6 +60,17 @@
         """
         return await self._coordinator.submit(command, timeout)
 
+    async def commit(self, command: Command, timeout: float) -> ControlState:
+        """Like `submit`; the returned state is also durable on as many disks as a decision needs.
+
+        Without witnesses each decision is.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
+        state = await self.submit(command, timeout)
+        if not state.witnesses:
+            return state
+        return await self.read_durable(deadline - asyncio.get_running_loop().time())
+
     async def read(self, timeout: float) -> ControlState:
         """Return a state that is at least as new as any that was chosen before this call.
 
--- a/emberlatch/cluster/consensus/state.py
+++ b/emberlatch/cluster/consensus/state.py
@@ -17,6 +17,7 @@
 
 MAX_HISTORY = 1024  # maximum number of revisions in the history, each with the digest of its text
 NO_REVISION = -1  # revision of a state without a configuration
+WITNESS_IDENTITY_PREFIX = "witness-"  # the identities of disks are hexadecimal, so none begins like this
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -44,12 +45,18 @@
     """A machine with a vote: its node and the identity on its disk.
 
     After the loss of its disk a machine is a different voter. The seeds, which vote on the founding of the
-    cluster, have no identity yet: for them `node` is an address and `identity` is empty.
+    cluster, have no identity yet: for them `node` is an address and `identity` is empty. A witness is a
+    process without a disk that votes; it has a new identity with each start.
     """
 
     node: str
     identity: str
 
+    @property
+    def is_witness(self) -> bool:
+        """Whether this voter keeps its promises in memory only, until its process ends."""
+        return self.identity.startswith(WITNESS_IDENTITY_PREFIX)
+
     def to_wire(self) -> list[object]:
         """The encoding on the wire and on disk."""
         return [self.node, self.identity]
@@ -114,6 +121,11 @@
         text = f"{self.cluster} {self.version} " + " ".join(f"{v.node}/{v.identity}" for v in self.voters)
         return hashlib.sha256(text.encode()).hexdigest()[:16]
 
+    @cached_property
+    def witnesses(self) -> tuple[Voter, ...]:
+        """The voters without a disk."""
+        return tuple(voter for voter in self.voters if voter.is_witness)
+
     @cached_property
     def decommission_ordered(self) -> frozenset[str]:
         """Nodes whose decommission was ordered, the completed ones included."""
--- a/emberlatch/cluster/consensus/state_client.py
+++ b/emberlatch/cluster/consensus/state_client.py
@@ -51,7 +51,7 @@
         if self._service.state.version == 0:
             return CommitOutcome.UNDECIDED
         try:
-            state = await self._service.submit(Configure(revision, text), self._timeout)
+            state = await self._service.commit(Configure(revision, text), self._timeout)
         except UndecidedError:
             return CommitOutcome.UNDECIDED
         return _OUTCOMES[state.revision_status(revision, text_digest(text))]
@@ -68,7 +68,7 @@
         if self._service.state.version == 0:
             return False
         try:
-            state = await self._service.submit(MarkDecommission(node, mark), self._timeout)
+            state = await self._service.commit(MarkDecommission(node, mark), self._timeout)
         except UndecidedError:
             return False
         reached = state.decommission_mark(node)
--- a/emberlatch/cluster/control_plane.py
+++ b/emberlatch/cluster/control_plane.py
@@ -170,7 +170,10 @@
     def _publish(self) -> None:
         """Copy the state and identity of the register to the membership."""
         register = self.service.register
+        witnesses = self._agreed.control_state.witnesses
         self._agreed.update(register.state, register.local_voter.identity)
+        if register.state.witnesses != witnesses:
+            self._view.dial()
 
     async def _confirm(self) -> None:
         """Retry until a majority of the voters confirms a state, then adopt its configuration.
--- a/emberlatch/cluster/decommission/decommissions.py
+++ b/emberlatch/cluster/decommission/decommissions.py
@@ -90,7 +90,7 @@
             if rejection is not None:
                 return rejection
             mark = MarkDecommission(node, DecommissionMark.MARKED)
-            state = await self._service.submit(mark, DECISION_TIMEOUT_S)
+            state = await self._service.commit(mark, DECISION_TIMEOUT_S)
         except UndecidedError as error:
             return ControlResponse.failed(503, str(error))
         if state.decommission_mark(node) is None:  # Another machine was marked concurrently.
--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -45,6 +45,8 @@
     CONTROL_DISK_RECOVERED = 308
     CONTROL_DISK_EMPTY = 309
     FOREIGN_CLUSTER_DISK = 310
+    WITNESS_ADMITTED = 311
+    WITNESS_REPLACED = 312
     TARGET_REGISTERED = 401
     TARGET_DRAINING = 402
     TARGET_DEREGISTERED = 403
@@ -170,6 +172,11 @@
         "The disk of the named machine was initialized in another cluster: the machine is excluded until its "
         "disk is emptied.",
     ),
+    Event.WITNESS_ADMITTED: _info(
+        "witness admitted",
+        "This process has no disk and votes until it ends, because too few machines with a disk can vote.",
+    ),
+    Event.WITNESS_REPLACED: _info("witness replaced", "This process does not vote any more."),
     Event.TARGET_REGISTERED: _info("target registered", "A target sent its first heartbeat."),
     Event.TARGET_DRAINING: _info("target draining", "A target announced its graceful shutdown."),
     Event.TARGET_DEREGISTERED: _info(
--- a/emberlatch/cluster/membership/agreed_state.py
+++ b/emberlatch/cluster/membership/agreed_state.py
@@ -6,13 +6,15 @@
 
 
 class AgreedState:
-    """The control state and the disk identity. Only the control plane changes them.
+    """The control state, and the identity under which this process may vote.
 
-    In a process without a disk, they keep their initial values.
+    Only the control plane changes them, and in a process without a disk, which keeps the initial control
+    state, the witness service.
 
     Attributes:
         control_state: The newest version that this process knows; empty before the cluster is founded.
-        identity: Identity of this machine's disk; empty if there is no disk, and while it can't be read.
+        identity: Identity of this machine's disk, empty while it can't be read; in a process without a disk,
+            its identity as a witness.
     """
 
     __slots__ = ("control_state", "identity")
--- a/emberlatch/cluster/membership/control_links.py
+++ b/emberlatch/cluster/membership/control_links.py
@@ -18,8 +18,8 @@
         self._view, self._agreed = view, agreed
 
     def reachable_nodes(self) -> Iterable[str]:
-        """The stores whose link is up."""
-        return [peer.name for peer in self._view.reachable_stores()]
+        """The stores and witnesses whose link is up."""
+        return [peer.name for peer in (*self._view.reachable_stores(), *self._view.reachable_witnesses())]
 
     def node_of(self, voter: Voter) -> str | None:
         """The machine of a voter. Before the cluster is founded, a voter is known only by its address."""
@@ -36,7 +36,7 @@
 
     async def call(self, node: str, request: list[object], timeout: float) -> object:
         """Send a request to a machine. Raises UnreachableError if no answer arrives in `timeout` seconds."""
-        peer = self._view.stores().get(node)
+        peer = self._view.voter_link(node)
         if peer is None or not peer.up:
             raise UnreachableError(f"{node}: no link")
         try:
--- a/emberlatch/cluster/membership/links.py
+++ b/emberlatch/cluster/membership/links.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from emberlatch.cluster.membership.agreed_state import AgreedState
+from emberlatch.cluster.membership.member import Member
 from emberlatch.cluster.membership.roster import Roster
 from emberlatch.cluster.rpc import (
     Peer,
@@ -23,12 +25,13 @@
 
 
 class PeerLinks:
-    """A link to each store of the roster, and to the seeds until enough stores are known."""
+    """A link to each store of the roster and each witness, and to the seeds until enough stores are known."""
 
-    def __init__(self, settings: NodeSettings, roster: Roster, tasks: Tasks) -> None:
+    def __init__(self, settings: NodeSettings, roster: Roster, tasks: Tasks, agreed: AgreedState) -> None:
         self.counters = TrafficCounters()
         self.peers: dict[Address, Peer] = {}
-        self._settings, self._roster, self._tasks = settings, roster, tasks
+        self._settings, self._roster, self._tasks, self._agreed = settings, roster, tasks, agreed
+        self._witnesses: dict[str, Peer] = {}
         self._stores: dict[str, Peer] | None = None  # cache of `stores()`; None if it must be computed
         self._created_at = asyncio.get_running_loop().time()
         self._server_delegate_handler: tuple[RpcServer, PeerDelegate, RequestHandler] | None = None
@@ -66,12 +69,24 @@
             self._stores = {n: peer for n, peer in links if peer is not None and n != self._settings.node}
         return self._stores
 
+    def witnesses(self) -> dict[str, Peer]:
+        """The links to the voters without a disk, by node, whether they are up or not."""
+        return self._witnesses
+
+    def missing_witnesses(self) -> set[str]:
+        """The voters without a disk to which this process has no link yet."""
+        return {voter.node for voter in self._agreed.control_state.witnesses} - set(self._witnesses)
+
+    def voter(self, node: str) -> Peer | None:
+        """The link to a store or a witness; None if there is none."""
+        return self.stores().get(node) or self._witnesses.get(node)
+
     def reachable_stores(self) -> list[Peer]:
         """The links to stores that are up."""
         return [peer for peer in self.stores().values() if peer.up]
 
     def dial(self) -> None:
-        """Keep a link to each store of the roster and, while needed, to the seeds; close all other links."""
+        """Keep a link to each store and witness and, while needed, to the seeds; close all other links."""
         if self._server_delegate_handler is None:
             return
         addresses = self._addresses_to_dial()
@@ -84,6 +99,7 @@
         for address in [a for a in self.peers if a not in addresses]:
             self.peers.pop(address).close()
         self._stores = None
+        self._witnesses = {m.node: self.peers[m.ip, m.port] for m in self._witness_members()}
 
     def _create_peer(self, name: str, address: Address) -> Peer:
         assert self._server_delegate_handler is not None
@@ -94,12 +110,21 @@
         """The addresses to dial, each with the name of the peer that is expected there."""
         settings = self._settings
         addresses = {(m.ip, m.port): m.node for m in self._roster.stores() if m.node != settings.node}
-        if self._needs_seeds(len(addresses)):
+        known_stores = len(addresses)
+        addresses |= {(m.ip, m.port): m.node for m in self._witness_members()}
+        if self._needs_seeds(known_stores):
             for host, _ in settings.seeds:
                 if host != settings.ip:
                     addresses.setdefault((host, settings.inner_port), f"{SEED_PREFIX}{host}")
         return addresses
 
+    def _witness_members(self) -> list[Member]:
+        """The witnesses that this process knows; only a store has links to them."""
+        if not self._settings.is_store:
+            return []
+        known = (self._roster.members.get(v.node) for v in self._agreed.control_state.witnesses)
+        return [member for member in known if member is not None and not member.store]
+
     def _needs_seeds(self, known_stores: int) -> bool:
         """Whether to dial the seeds.
 
--- a/emberlatch/cluster/membership/messages.py
+++ b/emberlatch/cluster/membership/messages.py
@@ -17,13 +17,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlReport:
-    """What a store reports about the agreed control state, and about the machines that it can't reach."""
+    """What a store or witness reports about the agreed control state and the machines that it can't reach.
+
+    A witness reports the state in its memory in place of that on a disk.
+    """
 
     version: int = 0  # version of the control state on its disk
     epoch: int = 0
     cluster: str = ""  # the cluster that its disk belongs to; empty before the cluster is founded
     identity: str = ""  # identity of its disk; empty while the disk can't be read
-    votes: bool = True  # False while its disk accepts no writes
+    votes: bool = True  # False while its disk accepts no writes, and of a witness that is shutting down
     unreachable_s: Mapping[str, float] = field(default_factory=dict)  # seconds since contact, by node
     decommissions: Mapping[str, int] = field(default_factory=dict)  # value of `DecommissionMark`, by node
 
@@ -59,7 +62,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """What a process reports about itself with each heartbeat. Only stores report `disk` and `control`."""
+    """What a process reports about itself with each heartbeat.
+
+    Only stores report `disk`, and only stores and witnesses `control`.
+    """
 
     phase: str | None  # value of `Phase`; None if the process is not a store
     revision: int  # revision of the configuration that it can supply; negative if it has none
@@ -87,7 +93,8 @@
         revision = revision if isinstance(revision, int) else -1
         digest = digest if isinstance(digest, int) else None
         if phase is None:
-            return cls(None, revision, digest)
+            witness = ControlReport.from_wire(payload) if "version" in payload else None
+            return cls(None, revision, digest, None, witness)
         control = ControlReport.from_wire(payload)
         return cls(str(phase), revision, digest, _decode_disk_state(payload.get("disk")), control)
 
--- a/emberlatch/cluster/membership/roster.py
+++ b/emberlatch/cluster/membership/roster.py
@@ -49,6 +49,10 @@
         if node in self.members:
             self._renewed_at[node] = now
 
+    def renewed_at(self, node: str) -> float:
+        """The loop time of the last message from a member; far in the past if there was none."""
+        return self._renewed_at.get(node, _NEVER)
+
     def remove(self, node: str) -> None:
         """Remove a member. A removed store can join again only with a later incarnation."""
         member = self.members.get(node)
@@ -59,14 +63,19 @@
             if member.store and len(self._removed) < MAX_MEMBERS:
                 self._removed[node] = member.incarnation
 
-    def expire_leases(self, before: float) -> None:
-        """Remove forwarders whose lease was last renewed before the loop time `before`.
+    def expire_leases(self, before: float) -> list[str]:
+        """Remove forwarders whose lease was last renewed before the loop time `before`; return their nodes.
 
         Stores stay until the control state excludes them, since the messages on their disks are still needed.
         """
-        for node, member in list(self.members.items()):
-            if not member.store and node != self.me.node and self._renewed_at.get(node, _NEVER) < before:
-                self.remove(node)
+        expired = [
+            node
+            for node, member in self.members.items()
+            if not member.store and node != self.me.node and self.renewed_at(node) < before
+        ]
+        for node in expired:
+            self.remove(node)
+        return expired
 
     def stores(self) -> list[Member]:
         """All members that are stores, sorted by node."""
--- a/emberlatch/cluster/membership/roster_exchange.py
+++ b/emberlatch/cluster/membership/roster_exchange.py
@@ -51,6 +51,8 @@
         self._roster.renew(sender.node, now)
         if link is not None:
             link.name = sender.node
+        if sender.node in self._links.missing_witnesses():
+            self._links.dial()
         if not new_stores:
             return
         for member in new_stores:
--- a/emberlatch/cluster/membership/store_reports.py
+++ b/emberlatch/cluster/membership/store_reports.py
@@ -16,6 +16,7 @@
         disks: States of the disks, only for stores whose link is up.
         identities: Identities of the disks.
         versions: Versions of the control state on the disks, this machine's included.
+        withheld_votes: Voters that do not vote at present, and witnesses that are shutting down.
         clusters: Clusters that the disks belong to; empty strings before the cluster is founded.
         unreachability: The machines that each store can't reach.
     """
@@ -25,6 +26,7 @@
         self.disks = DiskReports()
         self.identities: dict[str, str] = {}
         self.versions: dict[str, int] = {}
+        self.withheld_votes: set[str] = set()
         self.clusters: dict[str, str] = {}
         self.unreachability = UnreachabilityReports()
 
@@ -39,6 +41,10 @@
         self.set_version(node, report.version)
         if report.identity:
             self.identities[node] = report.identity
+        if report.votes:
+            self.withheld_votes.discard(node)
+        else:
+            self.withheld_votes.add(node)
         self.unreachability.report(node, report.unreachable_s, now)
 
     def set_version(self, node: str, version: int) -> None:
--- a/emberlatch/cluster/membership/view.py
+++ b/emberlatch/cluster/membership/view.py
@@ -59,7 +59,7 @@
         self.settings, self.me = settings, _describe(settings, incarnation)
         self.roster, self.reported = Roster(self.me), StoreReports()
         self._agreed = agreed
-        self._links = PeerLinks(settings, self.roster, tasks)
+        self._links = PeerLinks(settings, self.roster, tasks, agreed)
         self._exchange = RosterExchange(self.roster, self._links, tasks, storage)
         self._contact = VoterContact(settings.node, agreed, self._links, self.reported)
         self._selection = StoreSelection(settings, self.roster, self._links, self.reported, agreed)
@@ -102,10 +102,18 @@
         """The links to the other stores, by node, whether they are up or not."""
         return self._links.stores()
 
+    def voter_link(self, node: str) -> Peer | None:
+        """The link to a store or a witness; None if there is none."""
+        return self._links.voter(node)
+
     def reachable_stores(self) -> list[Peer]:
         """The links to stores that are up."""
         return self._links.reachable_stores()
 
+    def reachable_witnesses(self) -> list[Peer]:
+        """The links to voters without a disk that are up."""
+        return [peer for peer in self._links.witnesses().values() if peer.up]
+
     # The roster.
 
     def restore_roster(self) -> None:
@@ -131,7 +139,8 @@
 
     def expire_leases(self, now: float) -> None:
         """Remove forwarders that have sent nothing for `FORGET_AFTER_S`."""
-        self.roster.expire_leases(now - FORGET_AFTER_S)
+        for node in self.roster.expire_leases(now - FORGET_AFTER_S):
+            self.reported.identities.pop(node, None)
 
     def node_at(self, control: str) -> str | None:
         """The machine whose control API has the address `control` (`host:port`); None if it is unknown."""
@@ -140,12 +149,12 @@
     # Reports of the other processes.
 
     def apply_handshake(self, handshake: Handshake, link: Peer | RpcConnection) -> None:
-        """Apply the handshake of a process. The identity of a disk is accepted only from its own process."""
+        """Apply the handshake of a process. An identity is accepted only from its own process."""
         sender = handshake.update.me
         if handshake.heartbeat.phase is not None:
             self.reported.phases[sender.node] = handshake.heartbeat.phase
         self.apply_membership_update(handshake.update, link)
-        if sender.store and handshake.identity:
+        if handshake.identity:
             self.reported.identities[sender.node] = handshake.identity
 
     def apply_heartbeat(self, peer: Peer, heartbeat: Heartbeat) -> None:
@@ -187,7 +196,7 @@
         return self._members.unreachable_s(node)
 
     def reports(self) -> dict[str, MemberReport]:
-        """The reports on all stores, this one included, and on all voters, by node."""
+        """The reports on all stores, this one included, on all voters and a possible witness, by node."""
         return self._members.reports()
 
     # Selection of stores.
--- a/emberlatch/cluster/membership/voter_contact.py
+++ b/emberlatch/cluster/membership/voter_contact.py
@@ -33,7 +33,7 @@
         return 2 * in_contact > len(voters)
 
     def _linked_or_dead(self, node: str) -> bool:
-        peer = self._links.stores().get(node)
+        peer = self._links.voter(node)
         return peer is not None and (peer.up or peer.state is PeerState.REFUSED)
 
     def has_confirmed_majority(self) -> bool:
@@ -49,7 +49,7 @@
     def _confirmed(self, voter: Voter, now: float) -> bool:
         if voter.node == self._node:
             return voter.identity == self._agreed.identity
-        peer = self._links.stores().get(voter.node)
+        peer = self._links.voter(voter.node)
         identified = self._reports.identities.get(voter.node) == voter.identity
         return identified and peer is not None and now - peer.last_answered_sent_at <= CONTACT_VALID_S
 
--- a/emberlatch/cluster/node/builder.py
+++ b/emberlatch/cluster/node/builder.py
@@ -32,6 +32,7 @@
 from emberlatch.cluster.node.request_handlers import RequestHandlers
 from emberlatch.cluster.node.store_request_handlers import StoreRequestHandlers
 from emberlatch.cluster.node.store_service import StoreService
+from emberlatch.cluster.node.witness_service import WitnessService
 from emberlatch.cluster.rpc import Incarnation, LocalEndpoint
 from emberlatch.cluster.settings import NodeSettings
 from emberlatch.engine import Machine, Tasks
@@ -85,8 +86,9 @@
         )
         endpoint = LocalEndpoint(Incarnation(settings.node, self._incarnation))
         store = self._store() if settings.is_store else None
+        witness = None if settings.is_store else WitnessService(settings.node, membership, self._agreed)
         heartbeats = HeartbeatService(
-            settings, endpoint, membership, self._agreed, active_configuration, store
+            settings, endpoint, membership, self._agreed, active_configuration, store, witness
         )
         readiness = Readiness(active_configuration, membership)
         call_handler = self._call_handler(store)
@@ -103,13 +105,20 @@
             store=store,
             store_service=self._store_service(store),
             heartbeats=heartbeats,
-            request_handlers=RequestHandlers(membership, heartbeats, handlers),
+            request_handlers=RequestHandlers(membership, heartbeats, handlers, witness),
             readiness=readiness,
             front=front,
             readiness_listener=self._readiness_listener(readiness),
             control_listener=control_listener,
             shutdown=GracefulShutdown(
-                settings.node, settings.bounds.grace_s, readiness, membership, store, front, control_listener
+                settings.node,
+                settings.bounds.grace_s,
+                readiness,
+                membership,
+                store,
+                front,
+                control_listener,
+                witness,
             ),
         )
 
--- a/emberlatch/cluster/node/graceful_shutdown.py
+++ b/emberlatch/cluster/node/graceful_shutdown.py
@@ -12,6 +12,7 @@
 from emberlatch.cluster.message_store import Phase
 from emberlatch.cluster.node.parts import StoreParts
 from emberlatch.cluster.node.readiness import Readiness
+from emberlatch.cluster.node.witness_service import WitnessService
 
 SHUTDOWN_ACCEPT_S = 2.7  # seconds after SIGTERM during which new client connections are still accepted
 SHUTDOWN_ACCEPT_SHARE = 0.45  # upper limit of that time, as a fraction of the grace period
@@ -27,7 +28,8 @@
 class GracefulShutdown:
     """Shuts a process down; runs once.
 
-    `store`, `front` and `control_listener` are None in a process without a disk or without that address.
+    `store`, `front` and `control_listener` are None in a process without a disk or without that address,
+    `witness` is None in a process with a disk.
     """
 
     def __init__(
@@ -39,14 +41,17 @@
         store: StoreParts | None,
         front: HttpListener | None,
         control_listener: HttpListener | None,
+        witness: WitnessService | None,
     ) -> None:
-        self._node, self._grace_s = node, grace_s
+        self._node, self._grace_s, self._witness = node, grace_s, witness
         self._readiness, self._membership, self._store = readiness, membership, store
         self._front, self._control_listener = front, control_listener
 
     async def run(self) -> None:
         """Shut down; return once the process may exit, before the grace period ends."""
         self._readiness.begin_shutdown()
+        if self._witness is not None:
+            self._witness.begin_shutdown()
         deadline = asyncio.get_running_loop().time() + self._grace_s
         log_event(Event.SHUTTING_DOWN, self._node)
         if self._front is not None:
--- a/emberlatch/cluster/node/heartbeats.py
+++ b/emberlatch/cluster/node/heartbeats.py
@@ -15,6 +15,7 @@
     MembershipView,
 )
 from emberlatch.cluster.node.parts import StoreParts
+from emberlatch.cluster.node.witness_service import WitnessService
 from emberlatch.cluster.rpc import DEFAULT_HEARTBEAT_INTERVAL_S, LocalEndpoint, Peer, RpcConnection, RpcMethod
 from emberlatch.cluster.settings import NodeSettings
 
@@ -22,7 +23,10 @@
 
 
 class HeartbeatService:
-    """Implements `PeerDelegate` for the links. `store` is None in a process without a disk."""
+    """Implements `PeerDelegate` for the links.
+
+    `store` is None in a process without a disk, `witness` in one with a disk.
+    """
 
     def __init__(
         self,
@@ -32,11 +36,12 @@
         agreed: AgreedState,
         active_configuration: ActiveConfiguration,
         store: StoreParts | None,
+        witness: WitnessService | None = None,
     ) -> None:
         self.endpoint = endpoint
         self._node, self._is_store = settings.node, settings.is_store
         self._membership, self._agreed = membership, agreed
-        self._active_configuration, self._store = active_configuration, store
+        self._active_configuration, self._store, self._witness = active_configuration, store, witness
         self._decoder = HeartbeatDecoder()
         self._encoded: tuple[Heartbeat, object] | None = None  # the last encoded heartbeat, and its payload
 
@@ -73,6 +78,8 @@
         if store is not None:
             phase, disk = store.message_store.phase.value, store.message_store.local_store.disk_state
             control = store.control.report()
+        elif self._witness is not None:
+            control = self._witness.report()
         digest = self._membership.roster.digest()
         if self._encoded is not None:
             latest = self._encoded[0]
@@ -122,8 +129,12 @@
         self._apply(peer, self._decoder.decode(peer.name, payload))
 
     def on_state_change(self, peer: Peer) -> None:
-        """Handle a change of a link's state. If the link is up, a store sends the peer its known targets."""
-        if peer.up and self._store is not None and self._store.targets.targets_by_id:
+        """Handle a change of a link's state.
+
+        If the link is up, a store sends its known targets to the peer, unless that is a witness.
+        """
+        is_store = self._membership.stores().get(peer.name) is peer
+        if peer.up and is_store and self._store is not None and self._store.targets.targets_by_id:
             now = asyncio.get_running_loop().time()
             peer.notify(RpcMethod.TARGETS, self._store.targets.reports(now).to_wire())
         self._membership.on_link_state_change(peer)
--- a/emberlatch/cluster/node/request_handlers.py
+++ b/emberlatch/cluster/node/request_handlers.py
@@ -5,6 +5,7 @@
 from emberlatch.cluster.membership import MembershipUpdate, MembershipView
 from emberlatch.cluster.message_store.request_handlers import Handler
 from emberlatch.cluster.node.heartbeats import HeartbeatService
+from emberlatch.cluster.node.witness_service import WitnessService
 from emberlatch.cluster.rpc import RpcConnection, RpcMethod
 
 
@@ -37,6 +38,7 @@
     """Finds the handler of a method.
 
     `store_handlers` maps the methods that need a disk to their handlers. It is None if there is no disk.
+    `witness` is None if there is a disk.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         membership: MembershipView,
         heartbeats: HeartbeatService,
         store_handlers: dict[str, Handler] | None,
+        witness: WitnessService | None,
     ) -> None:
         self._membership = membership
         self._is_store = store_handlers is not None
@@ -55,6 +58,8 @@
             RpcMethod.MEMBERSHIP_UPDATE: self._membership_update,
             **(store_handlers or {}),
         }
+        if witness is not None:
+            self._handlers[RpcMethod.CONTROL_STATE] = lambda _, payload: witness.serve(payload)
 
     @property
     def methods(self) -> frozenset[str]:
--- a/tests/cluster/consensus_scenarios.py
+++ b/tests/cluster/consensus_scenarios.py
@@ -17,11 +17,13 @@
 A, B, C = Voter("a", "a/1"), Voter("b", "b/1"), Voter("c", "c/1")
 NEW_A, NEW_C = Voter("a", "a/2"), Voter("c", "c/2")  # the same machines with an empty disk
 SPARE = Voter("d", "d/1")
+WITNESS, NEW_WITNESS = Voter("w", "witness-1"), Voter("w", "witness-2")  # before and after a restart
 FOUNDING_VOTERS = (Voter("host-a", ""), Voter("host-b", ""), Voter("host-c", ""))
 
 UNFOUNDED = ControlState(voters=FOUNDING_VOTERS)
 FOUNDED = apply_batch(UNFOUNDED, (CreateVoterGroup((A, B, C)),))
 PAIRED = apply_batch(FOUNDED, (SetVoters(FOUNDED.epoch, (A, B)),))
+WITNESSED = apply_batch(PAIRED, (SetVoters(PAIRED.epoch, (A, B, WITNESS)),))
 DECOMMISSIONING = replace(FOUNDED, decommissions=(("c", DecommissionMark.MARKED),))
 
 TEXT_A = BatchChoice((Configure(5, b"text A"),))
@@ -114,6 +116,36 @@
 )
 """After a decommission, the group has two voters. One loses its disk and becomes a voter again."""
 
+WITNESS_RESTART = Scenario(
+    disks=(A, B, WITNESS, NEW_WITNESS),
+    initial=WITNESSED,
+    batch_choices=((TEXT_A,), (DUE_CHANGE,)),
+    max_version=WITNESSED.version + 2,
+    absent=frozenset({3}),
+    may_lose=(2,),
+    replacements=((2, 3),),
+    max_losses=1,
+    symmetric=(0, 1),
+)
+"""Two voters with a disk and a witness, which restarts at any moment and has forgotten its promises."""
+
+WITNESS_AND_LOSS = replace(
+    WITNESS_RESTART,
+    disks=(A, B, WITNESS, SPARE),
+    may_lose=(1,),
+    replacements=((1, 3),),
+    silent_losses=frozenset({1}),
+    symmetric=(),
+)
+"""One of two voters with a disk is gone for good under its name, and an empty machine of another name comes."""
+
+DROPPED = apply_batch(WITNESSED, (SetVoters(WITNESSED.epoch, (A, WITNESS)),))
+
+WITNESS_RESTART_AFTER_LOSS = replace(
+    WITNESS_RESTART, initial=DROPPED, max_version=DROPPED.version + 2, symmetric=()
+)
+"""After such a loss the witness restarts before an empty machine comes; a late disk knows the loss of nobody."""
+
 FOUNDING = Scenario(
     disks=(A, B, C, NEW_C),
     initial=UNFOUNDED,
@@ -146,6 +178,9 @@
     "a loss in a group of two": PAIR,
     "a read during a replacement": READ_ACROSS,
     "two losses in a group of four": FOUR,
+    "a witness that restarts": WITNESS_RESTART,
+    "a loss for good beside a witness": WITNESS_AND_LOSS,
+    "a witness that restarts after a loss": WITNESS_RESTART_AFTER_LOSS,
     "the founding": FOUNDING,
 }
 """The scenarios that the tests explore completely."""
@@ -159,6 +194,12 @@
     "a decommission and a replacement": replace(
         DECOMMISSION, batch_choices=((DUE_CHANGE,), (TEXT_A,), (DUE_CHANGE,)), max_version=4
     ),
+    "a witness that restarts in a race": replace(
+        WITNESS_RESTART, batch_choices=((TEXT_A,), (DUE_CHANGE,), (TEXT_B,))
+    ),
+    "a loss for good beside a witness in a race": replace(
+        WITNESS_AND_LOSS, batch_choices=((TEXT_A,), (DUE_CHANGE,), (TEXT_B,))
+    ),
     "a founding with a retry": replace(
         FOUNDING, batch_choices=(*FOUNDING.batch_choices, FOUNDING.batch_choices[0])
     ),
--- a/tests/cluster/consensus_states.py
+++ b/tests/cluster/consensus_states.py
@@ -56,6 +56,7 @@
     absent: frozenset[int] = frozenset()  # disks that exist only as replacements
     may_lose: tuple[int, ...] = ()  # disks that may be lost
     replacements: tuple[tuple[int, int], ...] = ()  # pairs of a lost disk and its empty replacement
+    silent_losses: frozenset[int] = frozenset()  # disks of whose loss no proposer is ever told
     max_losses: int = 0
     max_losses_at_once: int = 1  # limit of lost disks that are still voters
     tolerated_losses: int = 1  # simultaneous losses that must not lose data or block
--- a/tests/cluster/consensus_subject.py
+++ b/tests/cluster/consensus_subject.py
@@ -30,6 +30,7 @@
 RECOVERY_FOUNDING = (CreateVoterGroup((Voter("recovery", "recovery"),)),)
 """The batch to propose in version 0, in which voters accept nothing but the creation of a group."""
 RECOVERY_ATTEMPTS = 5
+LONG_S = 1000.0  # seconds without contact with a disk of whose loss no proposer is told
 STAGES = (Stage.PREPARING, Stage.ACCEPTING)
 
 
@@ -113,7 +114,12 @@
 
     def quorum(self, state: ControlState, lost: int) -> Quorum:
         """Return the quorum for the version after `state`; `lost` is a bit mask of disks known to be lost."""
-        lost_voters = {voter for index, voter in enumerate(self._scenario.disks) if lost >> index & 1}
+        silent = self._scenario.silent_losses
+        lost_voters = {
+            voter
+            for index, voter in enumerate(self._scenario.disks)
+            if lost >> index & 1 and index not in silent
+        }
         lost_voters |= {
             founding_voter
             for index, founding_voter in enumerate(self._scenario.founding_voters)
@@ -188,10 +194,13 @@
     def due_change(self, disks: tuple[Disk, ...], base: int) -> Batch:
         """Return the change that the production maintenance finds due, given reports of all present disks."""
         members = {}
-        for voter, disk in zip(self._scenario.disks, disks, strict=True):
+        for index, (voter, disk) in enumerate(zip(self._scenario.disks, disks, strict=True)):
+            counted = not voter.is_witness
             if disk.record != ABSENT:
                 version = self.records[disk.record].state.version
-                members[voter.node] = MemberReport(voter, "", "", True, True, 0.0, version)
+                members[voter.node] = MemberReport(voter, "", "", counted, True, 0.0, version)
+            elif index in self._scenario.silent_losses:
+                members[voter.node] = MemberReport(voter, "", "", counted, False, LONG_S, ABSENT)
         command = next_change(self.states[base], members, FaultTolerance(1))
         return () if command is None else (command,)
 
--- a/tests/cluster/test_consensus_model.py
+++ b/tests/cluster/test_consensus_model.py
@@ -51,6 +51,7 @@
 handle, vote, reply_unless_next = Acceptor.handle, Acceptor._vote, Acceptor._reply_unless_next
 receive, on_promise, on_accepted = Proposer.receive, Proposer._on_promise, Proposer._on_accepted
 receive_read = ReadRound.receive
+satisfies_accept = Quorum.satisfies_accept
 
 
 def promise_unsynced(self: Acceptor, record: AcceptorRecord, request: Request) -> Step:
@@ -98,6 +99,12 @@
     return counted >= required or counted == len(self.survivors)
 
 
+def disks_needed_beside_a_witness(self: Quorum, votes: set[Voter]) -> bool:
+    """A batch is chosen only once it is on two disks, also if one of two is gone for good."""
+    on_disk = [voter for voter in votes if not voter.is_witness]
+    return satisfies_accept(self, votes) and len(on_disk) >= self.min_disks
+
+
 def highest_digest_wins(self: Proposer, promise: Promise) -> None:
     self._highest_accepted, best = None, self._highest_accepted
     on_promise(self, promise)
@@ -190,7 +197,20 @@
     symmetric=(),
 )
 
+FORGETFUL_WITNESS = replace(
+    scenarios.WITNESS_RESTART,
+    disks=(scenarios.A, scenarios.B, scenarios.WITNESS, scenarios.WITNESS),
+    batch_choices=((scenarios.TEXT_A,), (scenarios.TEXT_B,)),
+)
+TWO_VOTERS = replace(scenarios.WITNESS_AND_LOSS, initial=scenarios.PAIRED)
+
 BUGS: dict[str, tuple[Scenario, tuple[Patch, ...]]] = {
+    "a group of two without a witness": (TWO_VOTERS, ()),
+    "a witness that keeps its identity and forgets its promises": (FORGETFUL_WITNESS, ()),
+    "a disk that is gone for good is needed": (
+        scenarios.WITNESS_AND_LOSS,
+        ((Quorum, "satisfies_accept", disks_needed_beside_a_witness),),
+    ),
     "a promise that is not synced": (RACE, ((Acceptor, "handle", promise_unsynced),)),
     "an acceptance that is not synced": (RACE, ((Acceptor, "handle", accept_unsynced),)),
     "a vote from an empty disk": (
--- a/tests/cluster/test_control_faults.py
+++ b/tests/cluster/test_control_faults.py
@@ -17,7 +17,7 @@
 from emberlatch.simulation.http_client import send_request
 from emberlatch.simulation.node import CONTROL_PORT
 from emberlatch.simulation.scenario import Scenario
-from tests.cluster.support import Plan, play, until
+from tests.cluster.support import Plan, play, submit, success_count, until
 
 REPLACE = "/api/configuration/replace"
 RETRIEVE = "/api/configuration/retrieve"
@@ -53,6 +53,13 @@
             scenario.cluster.partition(node_a, node_b, seconds)
 
 
+def witnesses(scenario: Scenario, store: str) -> tuple[Voter, ...]:
+    """The voters without a disk in the state that a store knows."""
+    program = scenario.cluster.nodes[store].program
+    assert program is not None and program.control is not None
+    return program.control.service.state.witnesses
+
+
 def active_configurations(scenario: Scenario) -> set[bytes]:
     programs = [
         node.program for node in scenario.cluster.nodes.values() if node.up and node.program is not None
@@ -200,6 +207,111 @@
     play(Plan(54), steps)
 
 
+async def decommission(scenario: Scenario, store: str) -> None:
+    """Order that a store be emptied, wait until it is, and take it away with its disk."""
+    cluster = scenario.cluster
+    others = [name for name, node in cluster.nodes.items() if node.is_store and name != store]
+    path = f"/api/retire/{store}"
+    assert (await call(scenario, others[0], "POST", f"{path}/initiate", b'{"period_s":5}'))[0] == 200
+    until_s = cluster.loop.time() + 8.0
+    while b"completed" not in (await call(scenario, others[0], "GET", f"{path}/retrieve"))[1]:
+        assert cluster.loop.time() < until_s, f"{store} is not empty after 8 s"
+        await asyncio.sleep(0.1)
+    cluster.nodes[store].power_off(1e6, wipe=True)
+
+
+# Guards against: a group of two voters loses one for good under its name; the other has no majority, so nothing is
+# decided or delivered any more, while messages are accepted (review, case 4).
+@test(
+    "after a decommission a store is lost for good and replaced: {lost}; the service goes on with the new one"
+)
+def _(lost: str = each("s0", "s2")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        survivor = "s2" if lost == "s0" else "s0"
+        await decommission(scenario, "s1")
+        await asyncio.sleep(10.0)
+        cluster.nodes[lost].power_off(1e6, wipe=True)
+        await asyncio.sleep(2.0)
+        cluster.add_store("s9", cluster.nodes[lost].zone)
+        await asyncio.sleep(12.0)
+        body = cluster.configuration_body(9, 700)
+        assert await send_until_clear(scenario, [survivor, "s9"], body) == 200
+        status, raw = await call(scenario, "s9", "GET", RETRIEVE)
+        assert status == 200 and json.loads(raw)["revision"] == 9
+        sent = [await submit(scenario, f"f{n % 3}") for n in range(12)]
+        assert all(one.status == 202 for one in sent)
+        await until(lambda: all(success_count(cluster, one.id) == 1 for one in sent), 5.0)
+
+    play(Plan(58), steps)
+
+
+# Guards against: the witness restarts while a lost store has no successor yet, and the survivor has no majority.
+@test("a witness restarts after a store is lost for good: the service goes on once an empty store comes")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        await decommission(scenario, "s1")
+        await until(lambda: len(witnesses(scenario, "s2")) == 1, 3.0)
+        cluster.nodes["s0"].power_off(1e6, wipe=True)
+        await asyncio.sleep(5.0)
+        for front in ("f0", "f1", "f2"):
+            cluster.nodes[front].kill()
+        await asyncio.sleep(4.0)
+        cluster.add_store("s9", "z0")
+        await asyncio.sleep(4.0)
+        body = cluster.configuration_body(9, 700)
+        assert await send_until_clear(scenario, ["s2", "s9"], body) == 200
+        sent = [await submit(scenario, f"f{n % 3}") for n in range(6)]
+        await until(lambda: all(success_count(cluster, one.id) == 1 for one in sent), 5.0)
+
+    play(Plan(59), steps)
+
+
+# Guards against: a store is lost for good while forwarders are restarted one after the other, the witness among them.
+@test("a witness that is shut down beside a store lost for good is replaced before it ends")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        await decommission(scenario, "s1")
+        await until(lambda: len(witnesses(scenario, "s2")) == 1, 3.0)
+        (witness,) = witnesses(scenario, "s2")
+        cluster.nodes["s0"].power_off(1e6, wipe=True)
+        cluster.nodes[witness.node].terminate()
+        await asyncio.sleep(7.0)
+        assert witness not in witnesses(scenario, "s2")
+        cluster.add_store("s9", "z0")
+        await asyncio.sleep(4.0)
+        assert await send_until_clear(scenario, ["s2", "s9"], cluster.configuration_body(9, 700)) == 200
+
+    play(Plan(61), steps)
+
+
+# Guards against: a configuration is acknowledged that is on one of two disks and in the memory of the witness.
+@test("beside a witness a configuration is acknowledged only once it is on both disks")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        await decommission(scenario, "s1")
+        await until(lambda: len(witnesses(scenario, "s2")) == 1, 3.0)
+        partition(scenario, ["s0"], ["s2"], 3.0)
+        await asyncio.sleep(1.5)
+        body = cluster.configuration_body(9, 700)
+        assert (await call(scenario, "s2", "POST", REPLACE, body))[0] == 503
+        await asyncio.sleep(3.0)
+        assert await send_until_clear(scenario, ["s2"], body) == 200
+        for node in ("s0", "s2"):
+            storage = RecordStorage(cluster.nodes[node].folder / CONTROL_FOLDER, node)
+            record = storage.load()
+            assert record is not None and record.state.revision == 9
+
+    play(Plan(60), steps)
+
+
 @test("a permanently lost store is replaced by an empty one, then a second disk is lost: no state is lost")
 def _() -> None:
     async def steps(scenario: Scenario) -> None:
--- a/tests/simulation/test_maintenance.py
+++ b/tests/simulation/test_maintenance.py
@@ -58,3 +58,73 @@
     state = dataclasses.replace(DECOMMISSIONING, removed_members=("d",))
     change = next_change(state, REACHABLE | {"d": report("d", False, 9.0)}, FaultTolerance())
     assert isinstance(change, SetVoters) and len(change.voters) == 2
+
+
+PAIR = ControlState(3, 1, VOTERS[:2])
+WITNESS = Voter("f", "witness-1")
+WITNESSED = ControlState(3, 1, (*VOTERS[:2], WITNESS))
+
+
+def witness_report(node: str = "f", identity: str = "witness-1", unreachable_s: float = 0.0) -> MemberReport:
+    return MemberReport(Voter(node, identity), "z", "r", False, unreachable_s == 0.0, unreachable_s, -1)
+
+
+def changed_voters(state: ControlState, *members: MemberReport) -> list[str] | None:
+    """The identities of the voters after the due change; None if no change is due."""
+    change = next_change(state, {member.voter.node: member for member in members}, FaultTolerance())
+    assert change is None or isinstance(change, SetVoters)
+    return None if change is None else [voter.identity for voter in change.voters]
+
+
+def test_a_witness_takes_the_place_of_a_decommissioned_voter_if_there_is_no_spare() -> None:
+    members = [*REACHABLE.values(), witness_report()]
+    assert changed_voters(DECOMMISSIONING, *members) == ["disk of a", "disk of c", "witness-1"]
+
+
+def test_a_witness_is_admitted_to_a_group_of_two_unless_a_machine_may_become_a_spare() -> None:
+    both = [report("a"), report("b")]
+    assert changed_voters(PAIR, *both, witness_report()) == ["disk of a", "disk of b", "witness-1"]
+    assert changed_voters(PAIR, *both, witness_report(), report("d", False, 1.0)) is None
+    assert changed_voters(PAIR, *both) is None
+
+
+def test_a_full_group_and_one_with_a_single_disk_admit_no_witness() -> None:
+    assert changed_voters(ControlState(3, 1, VOTERS), *REACHABLE.values(), witness_report()) is None
+    alone = ControlState(3, 1, (VOTERS[0], WITNESS))
+    assert changed_voters(alone, report("a"), witness_report(), witness_report("g", "witness-2")) is None
+
+
+def test_a_restarted_witness_is_admitted_under_its_new_identity() -> None:
+    members = [report("a"), report("b"), witness_report("f", "witness-2")]
+    assert changed_voters(WITNESSED, *members) == ["disk of a", "disk of b", "witness-2"]
+
+
+def test_an_unreachable_witness_is_replaced_by_another_one() -> None:
+    members = [report("a"), report("b"), witness_report(unreachable_s=3.0), witness_report("g", "witness-2")]
+    assert changed_voters(WITNESSED, *members) == ["disk of a", "disk of b", "witness-2"]
+
+
+def test_a_witness_that_is_shutting_down_is_replaced_if_there_is_another_one() -> None:
+    members = [report("a"), report("b"), dataclasses.replace(witness_report(), ending=True)]
+    assert changed_voters(WITNESSED, *members) is None
+    members.append(witness_report("g", "witness-2"))
+    assert changed_voters(WITNESSED, *members) == ["disk of a", "disk of b", "witness-2"]
+
+
+def test_a_spare_takes_the_place_of_the_witness() -> None:
+    members = [report("a"), report("b"), witness_report(), report("d")]
+    assert changed_voters(WITNESSED, *members) == ["disk of a", "disk of b", "disk of d"]
+
+
+def test_an_unreachable_disk_is_dropped_beside_a_witness_and_comes_back_as_a_spare() -> None:
+    """Otherwise the group would have no majority if the witness ended before a spare comes."""
+    unreachable = [report("a"), report("b", False, 3.0), witness_report()]
+    assert changed_voters(WITNESSED, *unreachable) == ["disk of a", "witness-1"]
+    dropped = ControlState(3, 1, (VOTERS[0], WITNESS))
+    members = [report("a"), report("b"), witness_report()]
+    assert changed_voters(dropped, *members) == ["disk of a", "disk of b", "witness-1"]
+
+
+def test_a_witness_is_never_removed_as_a_member() -> None:
+    members = {m.voter.node: m for m in [report("a"), report("b"), witness_report(unreachable_s=60.0)]}
+    assert next_change(WITNESSED, members, FaultTolerance()) is None
