A store that is emptied offers each waiting message until another store has taken it

Cause: the evacuation took the waiting messages out of the dispatcher and handed them over; those whose new owner did not answer stayed with the emptied store in no queue. Later steps looked only at the dispatcher, the phase RETIRING delivers nothing, and nobody takes over from a store that is up. A message whose acceptance ended in that phase was stranded in the same way.

Change: each step takes the messages to hand over from the owned records, less those that are being accepted or delivered. On related paths: an offer that got no answer may have been taken, or be taken late, so the store keeps the messages with a later epoch than the offered one before it offers them to anybody else (the disk watch tried again with the same epoch); messages are never offered to two stores at once; what one offer settled stays settled if the next one fails; and a store that does not answer no longer holds up the offers to the others.

--- a/emberlatch/cluster/decommission/evacuation.py
+++ b/emberlatch/cluster/decommission/evacuation.py
@@ -36,8 +36,8 @@
         """
         message_store, re_replication = self._message_store, self._message_store.re_replication
         try:
-            if records := message_store.local_store.delivery.remove_idle():
-                await message_store.ownership.hand_over(records)
+            message_store.local_store.delivery.remove_idle()
+            await message_store.ownership.hand_over(self._waiting())
             counted = self._writable()
             under_replicated = re_replication.under_replicated(counted)
             under_replicated.sort(key=lambda record: not record.is_queued)  # Undelivered messages come first.
@@ -52,6 +52,21 @@
         except CallFailedError:
             return False
 
+    def _waiting(self) -> list[Record]:
+        """The owned messages that are neither being accepted nor delivered.
+
+        They are taken from the records, since a message that could not be handed over before is in no queue.
+        """
+        message_store = self._message_store
+        local_store = message_store.local_store
+        return [
+            record
+            for record in local_store.index.owned_by(self._node)
+            if local_store.owns_with_body(record)
+            and not local_store.delivery.is_in_flight(record)
+            and not message_store.accept_service.is_pending(record.id)
+        ]
+
     async def _ask_owners_if_due(self, records: list[Record]) -> None:
         """Ask the owners of some records for their present replicas, if the last time was long enough ago.
 
--- a/emberlatch/cluster/dispatch/dispatcher.py
+++ b/emberlatch/cluster/dispatch/dispatcher.py
@@ -122,6 +122,11 @@
             self._outcomes.forget(delivery)
         return [delivery.record for delivery in idle]
 
+    def is_in_flight(self, record: Record) -> bool:
+        """Return whether a call that delivers the message is in flight."""
+        delivery = self._deliveries.by_id.get(record.id)
+        return delivery is not None and delivery.stage is DeliveryStage.IN_FLIGHT
+
     def schedule_decision(self) -> None:
         """Schedule a decision; called at intervals, as no event reports a change of `may_start_calls`."""
         if self._offers.has_queues and self._deliveries.by_id:
--- a/emberlatch/cluster/message_store/accept_service.py
+++ b/emberlatch/cluster/message_store/accept_service.py
@@ -47,6 +47,10 @@
         """Whether any message is being accepted."""
         return bool(self._pending)
 
+    def is_pending(self, id: str) -> bool:
+        """Whether a message is being accepted."""
+        return id in self._pending
+
     async def accept(self, request: AcceptRequest) -> AcceptReply:
         """Handle ACCEPT: make a message durable, or reply why not and whether delivery is ruled out."""
         id, epoch = request.message.id, 1 + request.prior_attempts
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.message_store.local_store import LocalStore
@@ -39,6 +40,7 @@
         # that it could not reach a peer does not show that the peer stopped.
         self._cut_off_at = NEVER
         self._stalled_at = NEVER  # end of the last suspension of this process
+        self._handing_over: set[str] = set()  # ids of records that are being offered to another store
 
     # Permission to deliver.
 
@@ -75,12 +77,17 @@
 
         Used at shutdown, at decommissioning and on a disk fault. Also used for a message whose acceptance
         ends after this store has left the phase `SERVING`. This process remains the owner of records that
-        cannot be handed over.
+        cannot be handed over; the caller tries again. Records that are being handed over already are left
+        out, since two stores must not be offered the same epoch.
         """
-        by_owner = self._choose_owners(records)
-        for owner, theirs in by_owner.items():
-            for part in split(theirs, MAX_HANDED_OVER_RECORDS):
-                await self._hand_over_to(self._cluster.counted_stores()[owner], part)
+        by_owner = self._choose_owners([r for r in records if r.id not in self._handing_over])
+        chosen = {record.id for theirs in by_owner.values() for record in theirs}
+        self._handing_over |= chosen
+        try:
+            stores = self._cluster.counted_stores()
+            await asyncio.gather(*(self._hand_over_to(stores[n], theirs) for n, theirs in by_owner.items()))
+        finally:
+            self._handing_over -= chosen
         if by_owner:
             counts = {owner: len(theirs) for owner, theirs in by_owner.items()}
             log_event(Event.OWNERSHIP_HANDED_OVER, **counts)
@@ -100,30 +107,54 @@
         return by_owner
 
     async def _hand_over_to(self, peer: Peer, records: list[Record]) -> None:
+        """Pass records to one store until it fails to answer."""
+        with contextlib.suppress(CallFailedError):
+            for part in split(records, MAX_HANDED_OVER_RECORDS):
+                await self._pass_to(peer, part)
+
+    async def _pass_to(self, peer: Peer, records: list[Record]) -> None:
+        """Pass some records to one store, with copies of those that it lacks. Raises CallFailedError."""
+        without_copy = [r for r in records if peer.name not in r.replicas]
+        for record in records:
+            self._local_store.add_replica_holders(record, [*record.unconfirmed_replicas, peer.name])
+        await self._repair.send(peer, without_copy)
+        missing = await self._offer(peer, records)
+        if missing:  # the peer has received no copy, or its disk accepts no writes
+            await self._repair.send(peer, missing)
+            await self._offer(peer, missing)
+
+    async def _offer(self, peer: Peer, records: list[Record]) -> list[Record]:
+        """Offer the ownership of records to a peer; return those that it did not take.
+
+        Raises CallFailedError if the peer does not answer. It may have taken them, or take them late: this
+        process then owns them with a later epoch than the offered one.
+        """
+        offers = tuple(OwnershipOffer(r.id, r.epoch + 1, r.attempts) for r in records)
+        request = AssumeOwnershipRequest(offers)
         try:
-            without_copy = [r for r in records if peer.name not in r.replicas]
-            for record in records:
-                self._local_store.add_replica_holders(record, [*record.unconfirmed_replicas, peer.name])
-            await self._repair.send(peer, without_copy)
-            request = AssumeOwnershipRequest(
-                tuple(OwnershipOffer(r.id, r.epoch + 1, r.attempts) for r in records)
-            )
-            missing = await self._offer(peer, request)
-            if missing:  # the peer has received no copy, or its disk accepts no writes
-                await self._repair.send(peer, [r for r in records if r.id in missing])
-                missing = await self._offer(peer, request)
-        except CallFailedError:
-            return  # this process stays their owner here: its next incarnation or a takeover delivers them
-        accepted = [record for record in records if record.id not in missing]
-        for record in accepted:
-            self._local_store.set_owner(record, record.epoch + 1, peer.name, record.attempts)
+            reply = await peer.call(RpcMethod.ASSUME_OWNERSHIP, request.to_wire(), HAND_OVER_TIMEOUT_S)
+        except CallFailedError as error:
+            if error.may_have_arrived:
+                await self._supersede_offers(offers)
+            raise
+        missing = set(MessageIds.from_wire(reply).ids)
+        accepted = []
+        for record, offer in zip(records, offers, strict=True):
+            if record.id not in missing:
+                self._local_store.set_owner(record, offer.epoch, peer.name, record.attempts)
+                accepted.append(record)
         await self._repair.report(accepted)
+        return [record for record in records if record.id in missing]
 
-    @staticmethod
-    async def _offer(peer: Peer, request: AssumeOwnershipRequest) -> set[str]:
-        """Offer ownership to a peer; return the ids that it did not take."""
-        reply = await peer.call(RpcMethod.ASSUME_OWNERSHIP, request.to_wire(), HAND_OVER_TIMEOUT_S)
-        return set(MessageIds.from_wire(reply).ids)
+    async def _supersede_offers(self, offers: tuple[OwnershipOffer, ...]) -> None:
+        """Keep the ownership of offered records, with the epoch after the offered one."""
+        kept = []
+        for offer in offers:
+            record = self._local_store.index.records.get(offer.id)
+            if record is not None and self._local_store.owns_with_body(record):
+                self._local_store.set_owner(record, offer.epoch + 1, record.owner, record.attempts)
+                kept.append(record)
+        await self._repair.report(kept)
 
     def assume_ownership(self, request: AssumeOwnershipRequest) -> MessageIds:
         """Handle ASSUME_OWNERSHIP: become the owner of the offered messages.
--- a/emberlatch/cluster/message_store/ports.py
+++ b/emberlatch/cluster/message_store/ports.py
@@ -55,6 +55,9 @@
     def remove_idle(self) -> list[Record]:
         """Remove and return all messages without a call in flight."""
 
+    def is_in_flight(self, record: Record) -> bool:
+        """Return whether a call that delivers the message is in flight."""
+
 
 class LateBoundDeliveryQueue:
     """A delivery queue that is bound after the store was constructed.
@@ -82,6 +85,10 @@
         """See `DeliveryQueue`."""
         return self._bound().remove_idle()
 
+    def is_in_flight(self, record: Record) -> bool:
+        """See `DeliveryQueue`."""
+        return self._bound().is_in_flight(record)
+
     def _bound(self) -> DeliveryQueue:
         if self._queue is None:
             raise RuntimeError("the delivery queue is not bound yet: bind it before the store starts")
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -4,13 +4,17 @@
 import itertools
 import random
 from collections.abc import Callable
+from typing import Any
 
 from ward import each, test
 
+from emberlatch.cluster.membership import MembershipView
 from emberlatch.cluster.message_store import Record
+from emberlatch.cluster.message_store.messages import AssumeOwnershipRequest, MessageIds
+from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.record_batches import MAX_BATCH_BYTES, record_bytes, split_by_size
 from emberlatch.cluster.message_store.repair import Repair
-from emberlatch.cluster.rpc import Peer, RpcMethod
+from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
 from emberlatch.cluster.rpc.frames import MAX_FRAME_BYTES, Request, encode
 from emberlatch.simulation.cluster import SimulatedCluster
 from emberlatch.simulation.history import SentMessage
@@ -238,3 +242,106 @@
 
 def do_nothing(*_: object) -> None:
     """Do nothing: stores are not compared."""
+
+
+# Guards against: messages that a store could not hand over when it began to be emptied stay with it for ever, and
+# are never delivered (review, case 6).
+@test("a store is emptied while {other} has no power: each of its messages is delivered in time")
+def _(other: str = each("s0", "s2")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f1", delay_ms=8000) for _ in range(60)]
+        cluster.nodes[other].power_off(2.8)
+        await asyncio.sleep(0.2)
+        await order_to_empty(cluster)
+        await assert_delivered_in_time(cluster, sent)
+
+    play(Plan(63, stores=4), steps)
+
+
+# Guards against: another store begins its shutdown while messages are handed over to it, and takes a part of them.
+@test("a store is emptied and {other} is shut down: each of its messages is delivered in time")
+def _(other: str = each("s0", "s2")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f1", delay_ms=8000) for _ in range(60)]
+        with patched_attribute(Ownership, "assume_ownership", refuse_half(Ownership.assume_ownership)):
+            await order_to_empty(cluster)
+            cluster.nodes[other].terminate()
+            await asyncio.sleep(1.0)
+        await assert_delivered_in_time(cluster, sent)
+
+    play(Plan(65, stores=4), steps)
+
+
+def refuse_half(assume: Callable[[Ownership, Any], MessageIds]) -> Callable[[Ownership, Any], MessageIds]:
+    """Return a handler of ASSUME_OWNERSHIP that takes every second message."""
+
+    def assume_half(self: Ownership, request: AssumeOwnershipRequest) -> MessageIds:
+        assume(self, AssumeOwnershipRequest(request.offers[::2]))
+        return MessageIds(tuple(offer.id for offer in request.offers[1::2]))
+
+    return assume_half
+
+
+async def order_to_empty(cluster: SimulatedCluster) -> None:
+    path = f"/api/retire/{LEAVING}/initiate"
+    assert (await call_control(cluster, "s3", "POST", path, b'{"period_s":8}')).status == 200
+
+
+async def assert_delivered_in_time(cluster: SimulatedCluster, sent: list[SentMessage]) -> None:
+    """Wait until all messages have succeeded, and assert that each ran once and in time, and the order ended."""
+    await until(all_succeeded(cluster, sent), 12.0)
+    assert not executed_more_than_once(cluster)
+    late = [one for one in sent if cluster.history.runs[one.id][0].at > one.sent_at + one.delay_s + 1.0]
+    assert not late
+    retrieved = await call_control(cluster, "s3", "GET", f"/api/retire/{LEAVING}/retrieve")
+    assert b"completed" in retrieved.body
+
+
+# Guards against: a store takes messages, its answer is lost, and the next store is offered them with the same epoch;
+# both own and deliver them.
+@test("after the answer to a hand-over is lost, another store gets the messages with a later epoch")
+def _() -> None:
+    unanswered: set[str] = set()
+    writable_stores = MembershipView.writable_stores
+
+    async def lose_answer(self: Peer, method: str, payload: object, timeout: float) -> object:
+        reply = await call_peer(self, method, payload, timeout)
+        if method == RpcMethod.ASSUME_OWNERSHIP and self.name == "s3":
+            unanswered.add(self.name)
+            raise CallFailedError(method, self.name, "its answer is lost", True)
+        return reply
+
+    def writable_and_answering(self: MembershipView) -> list[Peer]:
+        return [peer for peer in writable_stores(self) if peer.name not in unanswered]
+
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        sent = [await submit(scenario, "f1", delay_ms=5000) for _ in range(60)]
+        with (
+            patched_attribute(Peer, "call", lose_answer),
+            patched_attribute(MembershipView, "writable_stores", writable_and_answering),
+            patched_attribute(Repair, "start_due", do_nothing),
+        ):
+            await order_to_empty(cluster)
+            await asyncio.sleep(2.0)
+            assert unanswered, "no message was offered to s3"
+            for one in sent:
+                assert len(owners_by_own_account(cluster, one.id)) == 1
+        await until(all_succeeded(cluster, sent))
+        assert not executed_more_than_once(cluster)
+
+    assert not play(Plan(64, stores=4), steps)[1]
+
+
+def owners_by_own_account(cluster: SimulatedCluster, id: str) -> list[str]:
+    """Return the stores whose own record of a queued message names them as the owner."""
+    stores = {
+        name: node.message_store.local_store.index for name, node in cluster.nodes.items() if node.is_store
+    }
+    found = ((name, index.records.get(id)) for name, index in stores.items())
+    return [name for name, one in found if one is not None and one.is_queued and one.owner == name]
