Beside witnesses disks weigh more, and their lost disks do not add up with restarts

Change: known losses of fewer disks than a copy has do not stop the survivors, however many witnesses have ended; an acknowledgement there always waits for as many disks as a decision needs. A spare takes a witness's place only once it was in contact for 6 s and all voters are. A disk has two votes and a witness one, and there is an odd number of witnesses, three beside two disks, so that one may end while a store is lost; all disks together are a majority without them.

--- a/emberlatch/cluster/consensus/maintenance.py
+++ b/emberlatch/cluster/consensus/maintenance.py
@@ -16,10 +16,13 @@
     RemoveMember,
     SetVoters,
 )
-from emberlatch.cluster.consensus.state import ControlState, Voter
+from emberlatch.cluster.consensus.state import DISK_WEIGHT, WITNESS_WEIGHT, ControlState, Voter
 
 REPLACE_VOTER_AFTER_S = 2.5  # time without contact after which a spare replaces a voter
 REMOVE_MEMBER_AFTER_S = 6.0  # time without contact after which a machine is removed
+# Time for which a spare was in contact before it takes the place of a witness. The loss of a voter that it
+# may succeed is noticed earlier.
+REPLACE_WITNESS_AFTER_S = 6.0
 MAX_VOTERS = 7
 
 
@@ -33,6 +36,7 @@
     `unreachable_s` is the number of seconds for which a majority of the voters has not reached it, 0 if they
     reach it. `version` is the version of the state on its disk. `cluster` is the name of the cluster to which
     its disk belongs, empty before the founding. `ending` is True if it is a witness that is shutting down.
+    `contact_s` is the number of seconds for which this process has been able to call the machine.
     """
 
     voter: Voter
@@ -44,6 +48,7 @@
     version: int
     cluster: str = ""
     ending: bool = False
+    contact_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,12 +108,10 @@
         old, new = reinstalled
         return _replace_voter(state, old, new)
     spare = _best_spare(state, members)
-    unreachable = next((v for v in state.voters if _lacks_contact(members.get(v.node))), None)
-    if unreachable is not None:
-        # Replace an unreachable voter before a decommissioned one, because the latter still votes.
-        replacement = spare or (_best_witness(state, members) if unreachable.is_witness else None)
-        if replacement is not None or _may_drop(state, unreachable):
-            return _replace_voter(state, unreachable, replacement)
+    # Replace an unreachable voter before a decommissioned one, because the latter still votes.
+    change = _replace_unreachable(state, members, spare)
+    if change is not None:
+        return change
     leaving = next((v for v in state.voters if state.decommission_mark(v.node) is not None), None)
     if leaving is not None:
         if spare is not None:
@@ -116,45 +119,77 @@
         if _may_shrink(state, leaving, members, tolerance):
             return _replace_voter(state, leaving, _best_witness(state, members))
     if spare is not None:
-        return _admit_spare(state, spare, tolerance)
-    return _admit_witness(state, members, tolerance)
+        return _admit_spare(state, spare, members, tolerance)
+    return _adjust_witnesses(state, members, tolerance)
 
 
-def _admit_spare(state: ControlState, spare: MemberReport, tolerance: FaultTolerance) -> SetVoters | None:
-    """Return the change by which a spare fills a vacant place or that of a witness."""
-    if len(state.voters) < tolerance.voters:
+def _replace_unreachable(
+    state: ControlState, members: Members, spare: MemberReport | None
+) -> SetVoters | None:
+    """Return the change that removes an unreachable voter; None if there is none, or it has to stay.
+
+    Beside witnesses an unreachable disk is dropped even if no spare can replace it. While the group waits
+    for a spare, it would lose its majority if witnesses ended. The dropped machine comes back as a spare.
+    """
+    unreachable = [voter for voter in state.voters if _lacks_contact(members.get(voter.node))]
+    for voter in sorted(unreachable, key=lambda voter: voter.is_witness):
+        replacement = (_best_witness(state, members) or spare) if voter.is_witness else spare
+        may_drop = bool(state.witnesses) and len(state.disk_voters) > 1 and not voter.is_witness
+        if replacement is not None or may_drop:
+            return _replace_voter(state, voter, replacement)
+    return None
+
+
+def _admit_spare(
+    state: ControlState, spare: MemberReport, members: Members, tolerance: FaultTolerance
+) -> SetVoters | None:
+    """Return the change by which a spare fills a vacant place or that of a witness.
+
+    A new spare may be the successor of a voter whose loss is not noticed yet. Then it has to take that
+    voter's place, and the witnesses are needed until then.
+    """
+    disks = len(state.disk_voters)
+    if disks >= tolerance.voters:
+        return _adjust_witnesses(state, members, tolerance)
+    if not state.witnesses or disks <= tolerance.machines:
         return _replace_voter(state, None, spare)
-    if state.witnesses:
-        return _replace_voter(state, state.witnesses[0], spare)
+    if spare.contact_s >= REPLACE_WITNESS_AFTER_S and _all_in_contact(state.voters, members):
+        return _replace_voter(state, state.witnesses[-1], spare)
     return None
 
 
-def _admit_witness(state: ControlState, members: Members, tolerance: FaultTolerance) -> SetVoters | None:
-    """Return the change by which a witness fills a vacant place that no machine with a disk can fill.
+def wanted_witnesses(disks: int, tolerance: FaultTolerance, available: int) -> int:
+    """Return how many of the available witnesses a group with so many disks should have.
 
-    Without it, a group that is smaller than `tolerance` asks for may lose its majority with a tolerated
-    loss. The voters with a disk stay more numerous than the witnesses: they are a majority by themselves,
-    also after all processes have restarted.
+    They take the places of the missing disks, and one of them may end during the tolerated losses without
+    costing the majority. All disks together outweigh all witnesses. An even number would need more votes
+    than the odd number below it, and bring none.
     """
-    disks = len(state.voters) - len(state.witnesses)
-    if len(state.voters) >= tolerance.voters or len(state.witnesses) + 1 >= disks:
-        return None
-    witness = _best_witness(state, members)
-    if witness is None or _awaits_spare(state, members):
-        return None
-    return _replace_voter(state, None, witness)
+    missing_disks = tolerance.voters - disks
+    if missing_disks <= 0:
+        return 0
+    most = min(DISK_WEIGHT * disks - 1, DISK_WEIGHT * (missing_disks - 1) + 3 * WITNESS_WEIGHT, available)
+    return most if most % 2 else max(0, most - 1)
 
 
-def _may_drop(state: ControlState, unreachable: Voter) -> bool:
-    """Whether the group may lose an unreachable voter with a disk although no spare can replace it.
+def _adjust_witnesses(state: ControlState, members: Members, tolerance: FaultTolerance) -> SetVoters | None:
+    """Return the change that admits or removes a witness; None if the group has as many as it should.
 
-    Only a group with witnesses drops it. While it waits for a spare, it would have no majority if a witness
-    ended. Voters with a disk must remain that suffice after the end of all witnesses. The dropped machine
-    becomes a voter again as a spare.
+    Without witnesses, a group that is smaller than `tolerance` asks for may lose its majority with a
+    tolerated loss. None is admitted while a machine with a disk could still take the vacant place.
     """
-    witnesses = len(state.witnesses)
-    disks = len(state.voters) - witnesses
-    return 0 < witnesses < disks and not unreachable.is_witness
+    present = len(state.witnesses)
+    candidates = _witness_candidates(state, members)
+    wanted = wanted_witnesses(len(state.disk_voters), tolerance, present + len(candidates))
+    if present > wanted and _all_in_contact(state.voters, members):
+        return _replace_voter(state, state.witnesses[-1], None)
+    if present < wanted and not _awaits_spare(state, members):
+        return _replace_voter(state, None, _best_witness(state, members))
+    return None
+
+
+def _all_in_contact(voters: Iterable[Voter], members: Members) -> bool:
+    return all(_is_in_contact(members.get(voter.node)) for voter in voters)
 
 
 def _may_shrink(state: ControlState, leaving: Voter, members: Members, tolerance: FaultTolerance) -> bool:
@@ -164,12 +199,9 @@
     machine could still become a spare, nor while a remaining voter is unreachable. If that voter were lost
     permanently, the smaller group might have no majority and could not even replace the voter.
     """
-    if len(state.voters) - len(state.witnesses) <= tolerance.machines + 1:
-        return False
-    if _awaits_spare(state, members):
+    if len(state.disk_voters) <= tolerance.machines + 1 or _awaits_spare(state, members):
         return False
-    staying = [members.get(voter.node) for voter in state.voters if voter != leaving]
-    return all(m is not None and m.reachable and m.unreachable_s == 0.0 for m in staying)
+    return _all_in_contact((voter for voter in state.voters if voter != leaving), members)
 
 
 def _awaits_spare(state: ControlState, members: Members) -> bool:
@@ -239,16 +271,25 @@
     return _best_spread(placed, eligible)
 
 
-def _best_witness(state: ControlState, members: Members) -> MemberReport | None:
-    """Return the reachable process without a disk that spreads the voters best over regions and zones."""
-    placed = [members[v.node] for v in state.voters if v.node in members]
+def _witness_candidates(state: ControlState, members: Members) -> list[MemberReport]:
+    """Return the reachable processes without a disk that have no vote."""
     nodes = {voter.node for voter in state.voters}
-    candidates = [
+    return [
         member
         for node, member in members.items()
         if node not in nodes and member.voter.is_witness and member.reachable
     ]
-    return _best_spread(placed, candidates)
+
+
+def _best_witness(state: ControlState, members: Members) -> MemberReport | None:
+    """Return the candidate that spreads the voters best over regions and zones; None if there is none."""
+    placed = [members[v.node] for v in state.voters if v.node in members]
+    return _best_spread(placed, _witness_candidates(state, members))
+
+
+def _is_in_contact(member: MemberReport | None) -> bool:
+    """Whether this process and a majority of the voters reach a machine now."""
+    return member is not None and member.reachable and member.unreachable_s == 0.0
 
 
 def _has_contact(member: MemberReport) -> bool:
--- a/emberlatch/cluster/consensus/maintenance_loop.py
+++ b/emberlatch/cluster/consensus/maintenance_loop.py
@@ -38,7 +38,7 @@
     def reports(self) -> Mapping[str, MemberReport]:
         """Return a report on every known machine with a disk and on every voter, by node.
 
-        Besides these, it has a process without a disk that may become a witness, if there is one.
+        Besides these, there are a few processes without a disk that may become witnesses.
 
         Voters that never contacted this incarnation are included. Otherwise a voter that stays unreachable
         after all processes have restarted would never be replaced.
--- a/emberlatch/cluster/consensus/proposer.py
+++ b/emberlatch/cluster/consensus/proposer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -24,7 +25,7 @@
     Snapshot,
 )
 from emberlatch.cluster.consensus.requests import Accept, Install, Learn, Prepare, Read, Request
-from emberlatch.cluster.consensus.state import Ballot, ControlState, Voter
+from emberlatch.cluster.consensus.state import Ballot, ControlState, Voter, total_weight
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +39,11 @@
     only if each possible majority includes a survivor. This is so in a group of two, four or six that has
     lost half of its voters.
 
-    In a group with witnesses a majority is enough in phase 2 too. Otherwise a batch that a voter on its only
-    reachable disk has accepted could neither be decided nor be superseded by the change that replaces the
-    other disk. Whoever acknowledges a batch to an operator there also waits until it is durable.
+    In a group with witnesses the voters with a disk have more weight, and a majority of all votes is enough
+    in phase 2 too. Otherwise a batch that a voter on its only reachable disk has accepted could neither be
+    decided nor be superseded by the change that replaces the other disk. Whoever acknowledges a batch to an
+    operator there also waits until it is on `min_disks` disks. So all survivors are enough as long as fewer
+    disks than that are lost, however many witnesses have ended: one of them has each acknowledged batch.
     """
 
     voters: tuple[Voter, ...]
@@ -65,20 +68,40 @@
         intersects_every_majority = len(survivors) > len(self.voters) - self.majority
         return intersects_every_majority and counted == len(survivors)
 
+    @property
+    def _has_witnesses(self) -> bool:
+        return any(voter.is_witness for voter in self.voters)
+
+    def _suffices_beside_witnesses(self, votes: set[Voter]) -> bool:
+        survivors = self.survivors
+        counted = votes & survivors
+        if self._is_majority(survivors):
+            return self._is_majority(counted)
+        lost_disks = sum(not voter.is_witness for voter in self.voters_with_replaced_disk)
+        has_disk = any(not voter.is_witness for voter in survivors)
+        return lost_disks < self.min_disks and has_disk and counted == survivors
+
+    def _is_majority(self, voters: AbstractSet[Voter]) -> bool:
+        return 2 * total_weight(voters) > total_weight(self.voters)
+
     def satisfies_prepare(self, votes: set[Voter]) -> bool:
         """Whether promises of these voters complete phase 1."""
+        if self._has_witnesses:
+            return self._suffices_beside_witnesses(votes)
         return self._suffices(votes, self.majority)
 
     def satisfies_accept(self, votes: set[Voter]) -> bool:
         """Whether a batch that these voters accepted is chosen."""
-        if any(voter.is_witness for voter in self.voters):
-            return self._suffices(votes, self.majority)
+        if self._has_witnesses:
+            return self._suffices_beside_witnesses(votes)
         return self._suffices(votes, max(self.majority, min(self.min_disks, len(self.voters))))
 
     def satisfies_durable(self, votes: set[Voter]) -> bool:
         """Whether a chosen state that these voters have is on as many disks as an acknowledgement needs."""
+        if not self._has_witnesses:
+            return self.satisfies_accept(votes)
         disks = {voter for voter in self.survivors if not voter.is_witness}
-        return self.satisfies_accept(votes) and len(votes & disks) >= min(self.min_disks, len(disks))
+        return self.satisfies_accept(votes) and len(votes & disks) >= self.min_disks
 
 
 class Stage(Enum):
--- a/emberlatch/cluster/consensus/state.py
+++ b/emberlatch/cluster/consensus/state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 from functools import cached_property
@@ -17,6 +18,7 @@
 
 MAX_HISTORY = 1024  # maximum number of revisions in the history, each with the digest of its text
 NO_REVISION = -1  # revision of a state without a configuration
+DISK_WEIGHT, WITNESS_WEIGHT = 2, 1  # votes of a voter in a group with witnesses
 WITNESS_IDENTITY_PREFIX = "witness-"  # the identities of disks are hexadecimal, so none begins like this
 
 
@@ -57,6 +59,11 @@
         """Whether this voter keeps its promises in memory only, until its process ends."""
         return self.identity.startswith(WITNESS_IDENTITY_PREFIX)
 
+    @property
+    def weight(self) -> int:
+        """The number of votes of this voter. In a group without witnesses all voters have equal weight."""
+        return WITNESS_WEIGHT if self.is_witness else DISK_WEIGHT
+
     def to_wire(self) -> list[object]:
         """The encoding on the wire and on disk."""
         return [self.node, self.identity]
@@ -86,6 +93,11 @@
     FORGOTTEN = "forgotten"  # the revision is older than the history
 
 
+def total_weight(voters: Iterable[Voter]) -> int:
+    """The number of votes that these voters have together."""
+    return sum(voter.weight for voter in voters)
+
+
 def text_digest(text: bytes) -> str:
     """The digest that distinguishes two texts under one revision, in 16 hexadecimal digits."""
     return hashlib.sha256(text).hexdigest()[:16]
@@ -126,6 +138,11 @@
         """The voters without a disk."""
         return tuple(voter for voter in self.voters if voter.is_witness)
 
+    @cached_property
+    def disk_voters(self) -> tuple[Voter, ...]:
+        """The voters with a disk."""
+        return tuple(voter for voter in self.voters if not voter.is_witness)
+
     @cached_property
     def decommission_ordered(self) -> frozenset[str]:
         """Nodes whose decommission was ordered, the completed ones included."""
--- a/emberlatch/cluster/membership/member_reports.py
+++ b/emberlatch/cluster/membership/member_reports.py
@@ -11,7 +11,7 @@
 from emberlatch.cluster.membership.member import Member
 from emberlatch.cluster.membership.roster import Roster
 from emberlatch.cluster.membership.store_reports import StoreReports
-from emberlatch.cluster.membership.witness_candidate import WitnessCandidate
+from emberlatch.cluster.membership.witness_candidates import WitnessCandidates
 from emberlatch.cluster.rpc import Peer
 
 UNKNOWN_VERSION = -1  # control state version of a store that has not reported one
@@ -23,7 +23,7 @@
     def __init__(self, roster: Roster, links: PeerLinks, reports: StoreReports, agreed: AgreedState) -> None:
         self._node, self._roster, self._links = roster.me.node, roster, links
         self._reports, self._agreed = reports, agreed
-        self._witness_candidate = WitnessCandidate(roster, reports.identities)
+        self._witness_candidates = WitnessCandidates(roster, reports.identities)
         self._created_at = _now()
 
     def unreachable(self) -> dict[str, float]:
@@ -49,19 +49,18 @@
         self._reports.unreachability.report(self._node, self.unreachable(), _now())
 
     def _unreachable_s(self, node: str) -> float:
-        voters = [voter.node for voter in self._agreed.control_state.voters]
+        voters = self._agreed.control_state.voters
         return self._reports.unreachability.unreachable_s(node, voters, _now())
 
     def reports(self) -> dict[str, MemberReport]:
-        """The reports on all stores, this one included, on all voters and a possible witness, by node."""
+        """The reports on all stores, this one included, on all voters and possible witnesses, by node."""
         self._report_own()
         state = self._agreed.control_state
         reports = {member.node: self._report(member) for member in self._roster.stores()}
         for voter in state.witnesses:
             if (member := self._roster.members.get(voter.node)) is not None:
                 reports[voter.node] = self._report_witness(member, voter, self._links.voter(voter.node))
-        candidate = self._witness_candidate.choose({voter.node for voter in state.voters}, _now())
-        if candidate is not None:
+        for candidate in self._witness_candidates.choose({voter.node for voter in state.voters}, _now()):
             reports[candidate.node] = self._report_candidate(candidate)
         for voter in state.voters:
             if voter.node not in reports:
@@ -104,6 +103,7 @@
             self._unreachable_s(node),
             self._reports.versions.get(node, UNKNOWN_VERSION),
             self._reports.clusters.get(node, ""),
+            contact_s=_now() - peer.state_since if peer is not None and peer.up else 0.0,
         )
 
 
--- a/emberlatch/cluster/membership/unreachability.py
+++ b/emberlatch/cluster/membership/unreachability.py
@@ -10,6 +10,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from emberlatch.cluster.consensus.state import Voter, total_weight
+
 REPORT_VALID_S = 2.0  # seconds for which the report of a voter is valid
 
 
@@ -33,15 +35,19 @@
         """Drop the report of a process."""
         self._reports.pop(voter, None)
 
-    def unreachable_s(self, node: str, voters: Collection[str], now: float) -> float:
+    def unreachable_s(self, node: str, voters: Collection[Voter], now: float) -> float:
         """For how many seconds a majority of the voters has not reached a machine; 0.0 if it has.
 
         A voter without a valid report counts as reaching the machine. The machine's own report is ignored.
         """
-        reported = [self._reported_s(voter, node, now) for voter in voters if voter != node]
-        longest_first = sorted(reported, reverse=True)
-        majority = len(voters) // 2 + 1
-        return longest_first[majority - 1] if len(longest_first) >= majority else 0.0
+        others = [voter for voter in voters if voter.node != node]
+        reported = [(self._reported_s(voter.node, node, now), voter.weight) for voter in others]
+        weight = 0
+        for seconds, voter_weight in sorted(reported, reverse=True):
+            weight += voter_weight
+            if 2 * weight > total_weight(voters):
+                return seconds
+        return 0.0
 
     def _reported_s(self, voter: str, node: str, now: float) -> float:
         report = self._reports.get(voter)
--- a/emberlatch/cluster/membership/view.py
+++ b/emberlatch/cluster/membership/view.py
@@ -196,7 +196,7 @@
         return self._members.unreachable_s(node)
 
     def reports(self) -> dict[str, MemberReport]:
-        """The reports on all stores, this one included, on all voters and a possible witness, by node."""
+        """The reports on all stores, this one included, on all voters and possible witnesses, by node."""
         return self._members.reports()
 
     # Selection of stores.
--- a/emberlatch/cluster/membership/voter_contact.py
+++ b/emberlatch/cluster/membership/voter_contact.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from emberlatch.cluster.consensus.state import Voter
+from emberlatch.cluster.consensus.state import Voter, total_weight
 from emberlatch.cluster.membership.agreed_state import AgreedState
 from emberlatch.cluster.membership.links import PeerLinks
 from emberlatch.cluster.membership.store_reports import StoreReports
@@ -29,8 +29,8 @@
         Any other majority of running voters then contains this process or a voter with a link to it.
         """
         voters = self._agreed.control_state.voters
-        in_contact = sum(voter.node == self._node or self._linked_or_dead(voter.node) for voter in voters)
-        return 2 * in_contact > len(voters)
+        in_contact = [v for v in voters if v.node == self._node or self._linked_or_dead(v.node)]
+        return 2 * total_weight(in_contact) > total_weight(voters)
 
     def _linked_or_dead(self, node: str) -> bool:
         peer = self._links.voter(node)
@@ -43,7 +43,8 @@
         machine has the disk that has the vote. A foreign disk belongs to another cluster.
         """
         voters, now = self._agreed.control_state.voters, asyncio.get_running_loop().time()
-        majority = 2 * sum(self._confirmed(voter, now) for voter in voters) > len(voters)
+        confirmed = [voter for voter in voters if self._confirmed(voter, now)]
+        majority = 2 * total_weight(confirmed) > total_weight(voters)
         return majority and not self._has_foreign_disk()
 
     def _confirmed(self, voter: Voter, now: float) -> bool:
--- a/emberlatch/simulation/control_peers.py
+++ b/emberlatch/simulation/control_peers.py
@@ -210,7 +210,7 @@
     def _seconds_unreachable_by_majority(self, heartbeats: Iterable[Heartbeat]) -> dict[str, float]:
         """For each machine reported as unreachable, the seconds for which most voters did not reach it."""
         now = self.now()
-        voters = [voter.node for voter in self._service.state.voters]
+        voters = self._service.state.voters
         nodes = {node for heartbeat in heartbeats for node in heartbeat.unreachable_s}
         return {node: self._reports.unreachable_s(node, voters, now) for node in nodes}
 
--- a/tests/simulation/test_maintenance.py
+++ b/tests/simulation/test_maintenance.py
@@ -7,8 +7,19 @@
 import pytest
 
 from emberlatch.cluster.consensus.commands import SetVoters
-from emberlatch.cluster.consensus.maintenance import FaultTolerance, MemberReport, next_change
-from emberlatch.cluster.consensus.state import ControlState, DecommissionMark, Voter
+from emberlatch.cluster.consensus.maintenance import (
+    FaultTolerance,
+    MemberReport,
+    next_change,
+    wanted_witnesses,
+)
+from emberlatch.cluster.consensus.state import (
+    DISK_WEIGHT,
+    WITNESS_WEIGHT,
+    ControlState,
+    DecommissionMark,
+    Voter,
+)
 
 
 def report(node: str, reachable: bool = True, unreachable_s: float = 0.0) -> MemberReport:
@@ -111,9 +122,36 @@
     assert changed_voters(WITNESSED, *members) == ["disk of a", "disk of b", "witness-2"]
 
 
-def test_a_spare_takes_the_place_of_the_witness() -> None:
-    members = [report("a"), report("b"), witness_report(), report("d")]
-    assert changed_voters(WITNESSED, *members) == ["disk of a", "disk of b", "disk of d"]
+def test_a_spare_takes_the_place_of_the_witness_once_it_can_be_no_successor_of_a_lost_voter() -> None:
+    members = [report("a"), report("b"), witness_report()]
+    new, known = (dataclasses.replace(report("d"), contact_s=seconds) for seconds in (5.9, 6.0))
+    assert changed_voters(WITNESSED, *members, new) is None
+    assert changed_voters(WITNESSED, *members, known) == ["disk of a", "disk of b", "disk of d"]
+
+
+@pytest.mark.parametrize(
+    ("disks", "tolerance", "expected"), [(1, 1, 1), (2, 1, 3), (3, 1, 0), (3, 2, 5), (4, 2, 3), (5, 2, 0)]
+)
+def test_witnesses_keep_a_majority_through_the_tolerated_losses(
+    disks: int, tolerance: int, expected: int
+) -> None:
+    wanted = wanted_witnesses(disks, FaultTolerance(tolerance), available=9)
+    assert wanted == expected
+    if wanted and disks > tolerance:  # the tolerated losses, and one witness that ends meanwhile
+        total = DISK_WEIGHT * disks + WITNESS_WEIGHT * wanted
+        assert 2 * (DISK_WEIGHT * (disks - tolerance) + WITNESS_WEIGHT * (wanted - 1)) > total
+        assert 2 * DISK_WEIGHT * disks > total
+
+
+@pytest.mark.parametrize(("available", "expected"), [(0, 0), (1, 1), (2, 1), (3, 3), (9, 3)])
+def test_an_odd_number_of_the_available_witnesses_is_wanted(available: int, expected: int) -> None:
+    assert wanted_witnesses(2, FaultTolerance(), available) == expected
+
+
+@pytest.mark.parametrize("silent", [report("b", False), report("b", True, 1.0)])
+def test_a_spare_does_not_take_the_place_of_the_witness_while_a_voter_is_silent(silent: MemberReport) -> None:
+    """The spare may be the successor of that voter, which then would stay in the group for good."""
+    assert changed_voters(WITNESSED, report("a"), silent, witness_report(), report("d")) is None
 
 
 def test_an_unreachable_disk_is_dropped_beside_a_witness_and_comes_back_as_a_spare() -> None:
