--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -212,9 +212,8 @@
     ),
     Event.OWNERSHIP_HANDED_OVER: _info(
         "messages handed over",
-        "This process shuts down, is being emptied, or its disk fails: messages were offered to the stores "
-        "that are named, with the number for each. This process still owns those that a store did not "
-        "accept.",
+        "This process shuts down, is being emptied, or its disk fails: the stores that are named took "
+        "messages, with the number for each. This process still owns those that no store took.",
     ),
     Event.DISK_FULL: _error(
         "disk nearly full",
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -77,19 +77,21 @@
 
         Used at shutdown, at decommissioning and on a disk fault. Also used for a message whose acceptance
         ends after this store has left the phase `SERVING`. This process remains the owner of records that
-        cannot be handed over; the caller tries again. Records that are being handed over already are left
-        out, since two stores must not be offered the same epoch.
+        cannot be handed over: the caller tries again, or the process ends and others take over. Records that
+        are being handed over already are left out, since two stores must not be offered the same epoch.
         """
         by_owner = self._choose_owners([r for r in records if r.id not in self._handing_over])
         chosen = {record.id for theirs in by_owner.values() for record in theirs}
         self._handing_over |= chosen
         try:
             stores = self._cluster.counted_stores()
-            await asyncio.gather(*(self._hand_over_to(stores[n], theirs) for n, theirs in by_owner.items()))
+            taken = await asyncio.gather(
+                *(self._hand_over_to(stores[name], theirs) for name, theirs in by_owner.items())
+            )
         finally:
             self._handing_over -= chosen
-        if by_owner:
-            counts = {owner: len(theirs) for owner, theirs in by_owner.items()}
+        counts = {name: count for name, count in zip(by_owner, taken, strict=True) if count}
+        if counts:
             log_event(Event.OWNERSHIP_HANDED_OVER, **counts)
 
     def _choose_owners(self, records: list[Record]) -> dict[str, list[Record]]:
@@ -106,11 +108,12 @@
                 by_owner.setdefault(owner, []).append(record)
         return by_owner
 
-    async def _hand_over_to(self, peer: Peer, records: list[Record]) -> None:
-        """Pass records to one store until it fails to answer."""
+    async def _hand_over_to(self, peer: Peer, records: list[Record]) -> int:
+        """Pass records to one store until it fails to answer; return how many it took."""
         with contextlib.suppress(CallFailedError):
             for part in split(records, MAX_HANDED_OVER_RECORDS):
                 await self._pass_to(peer, part)
+        return sum(record.owner == peer.name for record in records)
 
     async def _pass_to(self, peer: Peer, records: list[Record]) -> None:
         """Pass some records to one store, with copies of those that it lacks. Raises CallFailedError."""
