A forwarder that was shut down as a witness does not count as ending after its restart

A spare may be spent on the place of such a witness.

Cause: the notice of a shutdown was kept by node. It was taken back only by the report of a voter, which a restarted forwarder is not until it is admitted.

Change: a new identity, known from the handshake, has withheld no vote. The new test in tests/cluster/test_control_faults.py fails before and passes.

--- a/emberlatch/cluster/membership/store_reports.py
+++ b/emberlatch/cluster/membership/store_reports.py
@@ -47,6 +47,12 @@
             self.withheld_votes.add(node)
         self.unreachability.report(node, report.unreachable_s, now)
 
+    def set_identity(self, node: str, identity: str) -> None:
+        """Record the identity that a process reports about itself; a new one has withheld no vote yet."""
+        if self.identities.get(node) != identity:
+            self.withheld_votes.discard(node)
+        self.identities[node] = identity
+
     def set_version(self, node: str, version: int) -> None:
         """Record the version of the control state on the disk of a store; `node` may be this machine."""
         self.versions[node] = version
--- a/emberlatch/cluster/membership/view.py
+++ b/emberlatch/cluster/membership/view.py
@@ -155,7 +155,7 @@
             self.reported.phases[sender.node] = handshake.heartbeat.phase
         self.apply_membership_update(handshake.update, link)
         if handshake.identity:
-            self.reported.identities[sender.node] = handshake.identity
+            self.reported.set_identity(sender.node, handshake.identity)
 
     def apply_heartbeat(self, peer: Peer, heartbeat: Heartbeat) -> None:
         """Apply a store's phase, disk state and roster digest; a forwarder's heartbeat has no phase."""
--- a/tests/cluster/test_control_faults.py
+++ b/tests/cluster/test_control_faults.py
@@ -290,6 +290,27 @@
     play(Plan(61), steps)
 
 
+# Guards against: a forwarder that was shut down as a witness counts as ending after its restart, and is replaced as
+# soon as it is admitted again.
+@test("forwarders that were shut down as witnesses do not count as ending after their restart")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        await decommission(scenario, "s1")
+        await until(lambda: len(witnesses(scenario, "s2")) == 3, 5.0)
+        for front in ("f0", "f1", "f2", "f3", "f4") * 2:
+            cluster.nodes[front].terminate()
+            await asyncio.sleep(1.5)
+        await asyncio.sleep(8.0)
+        program = cluster.nodes["s2"].program
+        assert program is not None
+        assert not program.membership.reported.withheld_votes
+        assert len(witnesses(scenario, "s2")) == 3
+
+    play(Plan(66, forwarders=5), steps)
+
+
 # Guards against: a configuration is acknowledged that is on one of two disks and in the memory of the witness.
 @test("beside a witness a configuration is acknowledged only once it is on both disks")
 def _() -> None:
