A store asks all others before it delivers messages of a store that has stopped

Cause: a takeover asked nobody. A store began to deliver by its own copy at once, though that copy could be one of which the owner had not known, name a former owner, or name other replicas than the copy of a second store, which then took over as well, with the same epoch.

Change: `takeover.py`. The store first asks all stores that have not surely stopped (TAKEOVER_INQUIRY, 500 messages a request, 1 s at most) and takes only messages of which none knows an end or another owner. A store that owns a message or has its call in flight keeps it with a later epoch; of two stores that claim a message, the lower name continues; an owner that was started again meanwhile keeps its messages. The new epoch is two higher, so that a late offer of the old owner has no effect. All replicas then get a report. Event 515 says which stores knew better and how often. A store of a version without the method is not waited for.

Seen: three tests give a store a copy that the owner does not know of.

--- a/emberlatch/cluster/events.py
+++ b/emberlatch/cluster/events.py
@@ -67,6 +67,7 @@
     DISK_RECOVERED = 512
     DISK_STALLED = 513
     DISK_UNREADABLE = 514
+    TAKEOVER_ABANDONED = 515
     REPORTS_UNACKNOWLEDGED = 516
     DEAD_LETTERED = 601
     UNKNOWN_RESPONSE_STATUS = 602
@@ -245,6 +246,12 @@
         "disk unreadable",
         "The records can't be read or their file can't be created; this is retried until it succeeds.",
     ),
+    Event.TAKEOVER_ABANDONED: _warning(
+        "messages not taken over",
+        "This store was about to take messages over from a stopped owner (`of`), and learned from the stores "
+        "that are named, with the number for each, that they have ended or have another owner. The copies "
+        "here were out of date: each would have been delivered again.",
+    ),
     Event.REPORTS_UNACKNOWLEDGED: _warning(
         "reports not acknowledged",
         "The grace period of the shutdown ended before the stores that are named had acknowledged how "
--- a/emberlatch/cluster/message_store/message_store.py
+++ b/emberlatch/cluster/message_store/message_store.py
@@ -22,6 +22,7 @@
 from emberlatch.cluster.message_store.retention import SWEEP_INTERVAL_S, DiskUsage, Retention
 from emberlatch.cluster.message_store.startup import Startup
 from emberlatch.cluster.message_store.state_commits import StateCommits
+from emberlatch.cluster.message_store.takeover import Takeover
 from emberlatch.engine import Tasks
 
 MAX_DISK_FILL_RATIO = 0.8  # share of the disk limit that records may fill
@@ -60,6 +61,7 @@
         self.reports = ReplicaReports(local_store, tasks, cluster)
         self.repair = Repair(local_store, tasks, cluster, self.reports)
         self.ownership = Ownership(local_store, self.repair, self.reports, cluster)
+        self.takeover = Takeover(local_store, self.ownership, self.reports, tasks, cluster)
         self.re_replication = ReReplication(
             local_store, self.repair, self.reports, self.ownership, tasks, cluster
         )
@@ -131,7 +133,7 @@
             now = loop.time()
             self.ownership.tick(now)
             self.disk_watch.tick(now)
-            self.ownership.take_over(now)
+            self.takeover.start_if_due(now)
             self.reports.tick()
             self.repair.start_due(now)
             if self.local_store.delivers:
--- a/emberlatch/cluster/message_store/messages.py
+++ b/emberlatch/cluster/message_store/messages.py
@@ -311,6 +311,65 @@
         return cls(tuple(cast("list[int]", _items("range digests", payload))))
 
 
+@dataclass(frozen=True, slots=True)
+class TakeoverCandidate:
+    """A message that a store is about to take over, with the epoch of its former owner."""
+
+    id: str
+    epoch: int
+
+    def to_wire(self) -> list[object]:
+        """Return the wire form."""
+        return [self.id, self.epoch]
+
+    @classmethod
+    def from_wire(cls, payload: object) -> Self:
+        """Decode the wire form."""
+        try:
+            id, epoch = cast("list[Any]", payload)
+            return cls(str(id), int(epoch))
+        except _DECODE_ERRORS as error:
+            raise MessageDecodeError("takeover candidate", repr(error)) from error
+
+
+@dataclass(frozen=True, slots=True)
+class TakeoverInquiry:
+    """Request of TAKEOVER_INQUIRY: `claimant` is about to own these messages, whose owner has stopped."""
+
+    claimant: str
+    candidates: tuple[TakeoverCandidate, ...]
+
+    def to_wire(self) -> list[object]:
+        """Return the wire form."""
+        return [self.claimant, [candidate.to_wire() for candidate in self.candidates]]
+
+    @classmethod
+    def from_wire(cls, payload: object) -> Self:
+        """Decode the wire form."""
+        try:
+            claimant, candidates = cast("list[Any]", payload)
+        except _DECODE_ERRORS as error:
+            raise MessageDecodeError("takeover inquiry", repr(error)) from error
+        items = _items("takeover inquiry", candidates)
+        return cls(str(claimant), tuple(map(TakeoverCandidate.from_wire, items)))
+
+
+@dataclass(frozen=True, slots=True)
+class StateReports:
+    """Reply to TAKEOVER_INQUIRY: the receiver's records of these messages; it has no copy of the others."""
+
+    reports: tuple[StateReport, ...]
+
+    def to_wire(self) -> list[list[object]]:
+        """Return the wire form."""
+        return [report.to_wire() for report in self.reports]
+
+    @classmethod
+    def from_wire(cls, payload: object) -> Self:
+        """Decode the wire form."""
+        return cls(tuple(map(StateReport.from_wire, _items("state reports", payload))))
+
+
 CopySummary = list[Any]
 """State, epoch and owner of a copy, in wire form."""
 
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -1,10 +1,10 @@
-"""Ownership of messages: which store delivers a message, and how another store becomes its owner.
+"""Ownership of messages: whether this store may deliver, and how it passes its messages to other stores.
 
 `Record.owner` names the owner, and `Record.epoch` is the epoch of that ownership; of two queued copies the
-later epoch counts. Only the owner delivers. Ownership changes here by hand-over (the owner passes it to
-another store) and by takeover (the owner has surely stopped), each with the next epoch. It also changes when
-an ingress node submits a message to a second store: see `accept_service` and
-`cancellation.Cancellation.probe`.
+later epoch counts. Only the owner delivers. Ownership changes here by hand-over: the owner passes a message
+to another store, with the next epoch. It also changes by takeover, once the owner has surely stopped (see
+`takeover`), and when an ingress node submits a message to a second store (see `accept_service` and
+`cancellation.Cancellation.probe`).
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 
 
 class Ownership:
-    """Decides whether this process may deliver, hands messages over, and takes over from stopped stores."""
+    """Decides whether this process may deliver and which stores have stopped, and hands messages over."""
 
     def __init__(
         self, local_store: LocalStore, repair: Repair, reports: ReplicaReports, cluster: ClusterView
@@ -101,7 +101,7 @@
     def _choose_owners(self, records: list[Record]) -> dict[str, list[Record]]:
         """Choose a writable store for each owned record: the first of its replicas, if one is writable.
 
-        A replica that misses the hand-over's report chooses by the same order; see `take_over`.
+        A replica that misses the hand-over's report chooses by the same order; see `takeover`.
         """
         by_owner: dict[str, list[Record]] = {}
         writable = [peer.name for peer in self._cluster.writable_stores()]
@@ -179,7 +179,7 @@
                 self._local_store.set_owner(record, offer.epoch, self._local_store.me, offer.attempts)
         return MessageIds(tuple(missing))
 
-    # Takeover.
+    # Stores that have stopped.
 
     def has_surely_stopped(self, peer: Peer, now: float) -> bool:
         """Return whether a peer surely delivers nothing.
@@ -196,24 +196,3 @@
         if peer.up or now - since <= LEASE_S or not self.may_deliver():
             return False
         return self._cluster.unreachable_s(peer.name) > LEASE_S  # other voters may still reach it
-
-    def take_over(self, now: float) -> None:
-        """Become the owner, with the next epoch, of messages that stopped stores own.
-
-        This process takes over a message only if it is the first live store in the message's `replicas`.
-        """
-        peers = self._cluster.stores().items()
-        stopped = {name for name, peer in peers if self.has_surely_stopped(peer, now)}
-        if not stopped or not self._local_store.delivers:
-            return
-        me, count = self._local_store.me, 0
-        stores = self._cluster.counted_stores()
-        live = {me, *(n for n, peer in stores.items() if peer.up and n not in stopped)}
-        for record in list(self._local_store.index.records.values()):
-            if not record.is_queued or record.owner not in stopped:
-                continue
-            if next((n for n in record.replicas if n in live), None) == me:
-                count += 1
-                self._local_store.set_owner(record, record.epoch + 1, me, record.attempts)
-        if count:
-            log_event(Event.OWNERSHIP_TAKEN_OVER, of=",".join(sorted(stopped)), messages=count)
--- a/emberlatch/cluster/message_store/request_handlers.py
+++ b/emberlatch/cluster/message_store/request_handlers.py
@@ -15,6 +15,7 @@
     RangeDigests,
     RecordBatch,
     StateReport,
+    TakeoverInquiry,
 )
 from emberlatch.cluster.message_store.record import Record
 from emberlatch.cluster.rpc import RpcConnection, RpcMethod
@@ -30,6 +31,7 @@
         self._accept_service, self._replication = message_store.accept_service, message_store.replication
         self._cancellation, self._state_commits = message_store.cancellation, message_store.state_commits
         self._ownership, self._repair = message_store.ownership, message_store.repair
+        self._takeover = message_store.takeover
 
     def table(self) -> dict[str, Handler]:
         """Return the handler of each method."""
@@ -41,6 +43,7 @@
             RpcMethod.MESSAGE_STATE: self._message_state,
             RpcMethod.MESSAGE_BODY: self._message_body,
             RpcMethod.ASSUME_OWNERSHIP: self._assume_ownership,
+            RpcMethod.TAKEOVER_INQUIRY: self._takeover_inquiry,
             RpcMethod.DIGEST_RANGES: self._digest_ranges,
             RpcMethod.RECORDS: self._records,
             RpcMethod.REPAIR: self._receive_records,
@@ -69,6 +72,9 @@
     def _assume_ownership(self, _: RpcConnection, payload: object) -> object:
         return self._ownership.assume_ownership(AssumeOwnershipRequest.from_wire(payload)).to_wire()
 
+    def _takeover_inquiry(self, _: RpcConnection, payload: object) -> object:
+        return self._takeover.answer(TakeoverInquiry.from_wire(payload)).to_wire()
+
     def _digest_ranges(self, connection: RpcConnection, payload: object) -> object:
         return self._repair.compare_digests(connection.name, RangeDigests.from_wire(payload)).to_wire()
 
--- a/emberlatch/cluster/rpc/methods.py
+++ b/emberlatch/cluster/rpc/methods.py
@@ -26,6 +26,7 @@
     MESSAGE_STATE = "state"
     MESSAGE_BODY = "body"
     ASSUME_OWNERSHIP = "own"
+    TAKEOVER_INQUIRY = "take over"
     DIGEST_RANGES = "ranges"
     RECORDS = "records"
     REPAIR = "mend"
@@ -81,6 +82,10 @@
     _idempotent(RpcMethod.MESSAGE_STATE, _READ_ONLY),
     _idempotent(RpcMethod.MESSAGE_BODY, _READ_ONLY),
     _idempotent(RpcMethod.ASSUME_OWNERSHIP, "merges by the epoch that the sender chose for this handover"),
+    _idempotent(
+        RpcMethod.TAKEOVER_INQUIRY,
+        "a store that owns a message keeps it; a duplicate only names the caller as a replica again",
+    ),
     _idempotent(RpcMethod.DIGEST_RANGES, _READ_ONLY),
     _idempotent(RpcMethod.RECORDS, _READ_ONLY),
     _idempotent(RpcMethod.REPAIR, "replicas merge as in REPLICATE"),
--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -205,3 +205,60 @@
     is_in_flight = cluster.nodes[owner].message_store.local_store.delivery.is_in_flight
     records = [record for one in sent if (record := record_at(cluster, owner, one.id)) is not None]
     await until(lambda: any(is_in_flight(record) for record in records))
+
+
+# Guards against: a store takes over by a copy of which the owner knew nothing, though another store knows that
+# the message has ended.
+@test("messages that have succeeded do not run again at a store whose copy their owner does not know of")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 20, 800)
+            third = next(node.name for node in stores(cluster) if node.name not in (owner, replica))
+            give_copies(cluster, sent, owner, third, (owner, third))
+            await until_all_succeeded(cluster, sent)
+            await shut_down_for_good(cluster.nodes[owner])
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(83, stores=4), steps)
+
+
+# Guards against: two replicas with different lists of replicas both regard themselves as the first that still
+# runs, and both take over.
+@test("messages that wait are delivered by one of two replicas that do not know of each other")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 20, 3000)
+            third = next(node.name for node in stores(cluster) if node.name not in (owner, replica))
+            give_copies(cluster, sent, owner, third, (owner, third))
+            cluster.nodes[owner].power_off(1000.0)
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(1.0)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(84, stores=4), steps)
+
+
+# Guards against: a store takes over a message whose call is in flight at its new owner, since its own copy still
+# names the old one.
+@test("messages in flight at their new owner are not delivered by a store that knows only the old one")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 8, 700)
+            third = next(node.name for node in stores(cluster) if node.name not in (owner, replica))
+            give_copies(cluster, sent, owner, third, (owner, third))
+            cluster.nodes[owner].terminate()
+            await until_in_flight(cluster, replica, sent)
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(1.0)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(85, stores=4), steps)
