A message is not offered to another store while one that was offered it may take it

Callers could see: a message delivered by two stores at once while its owner was emptied, shut down or had a faulty disk.

Cause: after an offer without an answer the owner drew a later epoch and reported it once, with a time limit whose failure was ignored. It then offered the message to somebody else, while the first store could take the late offer and deliver.

Change: the owner asks that store with PROBE until it answers or has surely stopped; until then it offers the message to nobody. The store keeps a message whose call is in flight, whoever it believes to be the owner; otherwise it learns the later epoch, so that the late offer has no effect.

--- a/emberlatch/cluster/message_store/cancellation.py
+++ b/emberlatch/cluster/message_store/cancellation.py
@@ -67,10 +67,9 @@
         record = local_store.index.records.get(report.id)
         if record is None:  # the tombstone cancels a copy of an earlier epoch that arrives later
             record = local_store.add_tombstone(report.id, epoch - 1, report.owner)
-        elif (
-            record.is_queued and record.owner == local_store.me and not local_store.delivery.withdraw(record)
-        ):
-            local_store.merge(record, record.state, "", epoch + 1, local_store.me, record.attempts)
+        elif record.is_queued and local_store.delivery.is_in_flight(record):
+            later_epoch = max(epoch, record.epoch) + 1
+            local_store.merge(record, record.state, "", later_epoch, local_store.me, record.attempts)
         else:
             local_store.merge(record, MessageState.QUEUED, "", epoch, report.owner, report.attempts)
         return local_store.state_report(record)
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -14,7 +14,12 @@
 
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.message_store.local_store import LocalStore
-from emberlatch.cluster.message_store.messages import AssumeOwnershipRequest, MessageIds, OwnershipOffer
+from emberlatch.cluster.message_store.messages import (
+    AssumeOwnershipRequest,
+    MessageIds,
+    OwnershipOffer,
+    StateReport,
+)
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import Record
 from emberlatch.cluster.message_store.repair import NEVER, Repair, split
@@ -45,6 +50,8 @@
         self._cut_off_at = NEVER
         self._stalled_at = NEVER  # end of the last suspension of this process
         self._handing_over: set[str] = set()  # ids of records that are being offered to another store
+        # Ids of records that were offered to a store which has not answered, and the name of that store.
+        self._unanswered_offers: dict[str, str] = {}
 
     # Permission to deliver.
 
@@ -81,16 +88,19 @@
 
         Used at shutdown, at decommissioning and on a disk fault. Also used for a message whose acceptance
         ends after this store has left the phase `SERVING`. This process remains the owner of records that
-        cannot be handed over: the caller tries again, or the process ends and others take over. Records that
-        are being handed over already are left out, since two stores must not be offered the same epoch.
+        cannot be handed over: the caller tries again, or the process ends and others take over. Two kinds of
+        records are left out: those that are being handed over already, since two stores must not be offered
+        the same epoch; and those that were offered to a store which may still take them.
         """
-        by_owner = self._choose_owners([r for r in records if r.id not in self._handing_over])
+        excluded = self._handing_over | self._unanswered_offers.keys()
+        by_owner = self._choose_owners([r for r in records if r.id not in excluded])
         chosen = {record.id for theirs in by_owner.values() for record in theirs}
         self._handing_over |= chosen
         try:
             stores = self._cluster.counted_stores()
-            taken = await asyncio.gather(
-                *(self._hand_over_to(stores[name], theirs) for name, theirs in by_owner.items())
+            _, *taken = await asyncio.gather(
+                self._settle_unanswered_offers(),
+                *(self._hand_over_to(stores[name], theirs) for name, theirs in by_owner.items()),
             )
         finally:
             self._handing_over -= chosen
@@ -134,7 +144,8 @@
         """Offer the ownership of records to a peer; return those that it did not take.
 
         Raises CallFailedError if the peer does not answer. It may have taken them, or take them late: this
-        process then owns them with a later epoch than the offered one.
+        process then owns them with a later epoch than the offered one, and offers them to no other store
+        until that peer has said what it knows of them.
         """
         offers = tuple(OwnershipOffer(r.id, r.epoch + 1, r.attempts) for r in records)
         request = AssumeOwnershipRequest(offers)
@@ -142,7 +153,7 @@
             reply = await peer.call(RpcMethod.ASSUME_OWNERSHIP, request.to_wire(), HAND_OVER_TIMEOUT_S)
         except CallFailedError as error:
             if error.may_have_arrived:
-                self._supersede_offers(offers)
+                self._supersede_offers(peer, offers)
             raise
         missing = set(MessageIds.from_wire(reply).ids)
         accepted = []
@@ -153,15 +164,42 @@
         self._reports.add(accepted)
         return [record for record in records if record.id in missing]
 
-    def _supersede_offers(self, offers: tuple[OwnershipOffer, ...]) -> None:
-        """Keep the ownership of offered records, with the epoch after the offered one."""
-        kept = []
+    def _supersede_offers(self, peer: Peer, offers: tuple[OwnershipOffer, ...]) -> None:
+        """Keep the ownership of records that a peer was offered, with the epoch after the offered one."""
         for offer in offers:
             record = self._local_store.index.records.get(offer.id)
             if record is not None and self._local_store.owns_with_body(record):
                 self._local_store.set_owner(record, offer.epoch + 1, record.owner, record.attempts)
-                kept.append(record)
-        self._reports.add(kept)
+                self._unanswered_offers[record.id] = peer.name
+
+    async def _settle_unanswered_offers(self) -> int:
+        """Ask the stores that have not answered an offer whether they took the message.
+
+        Return the number of offers that were open.
+        """
+        unanswered = list(self._unanswered_offers.items())
+        await asyncio.gather(*(self._settle_offer(id, node) for id, node in unanswered))
+        return len(unanswered)
+
+    async def _settle_offer(self, id: str, node: str) -> None:
+        """Ask a store about a record that it was offered; forget the offer once that is settled.
+
+        The store keeps the message if it delivers it already. Otherwise it learns that this process owns it,
+        with a later epoch than that of the offer, which has no effect if it arrives after that.
+        """
+        record = self._local_store.index.records.get(id)
+        peer = self._cluster.stores().get(node)
+        now = asyncio.get_running_loop().time()
+        if peer is None or self.has_surely_stopped(peer, now):
+            record = None
+        if peer is not None and record is not None and self._local_store.owns_with_body(record):
+            report = self._local_store.state_report(record)
+            try:
+                reply = await peer.call(RpcMethod.PROBE, report.to_wire(), HAND_OVER_TIMEOUT_S)
+            except CallFailedError:
+                return
+            self._local_store.merge_report(record, StateReport.from_wire(reply))
+        self._unanswered_offers.pop(id, None)
 
     def assume_ownership(self, request: AssumeOwnershipRequest) -> MessageIds:
         """Handle ASSUME_OWNERSHIP: become the owner of the offered messages.
--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -11,6 +11,7 @@
 
 from ward import each, test
 
+from emberlatch.cluster.membership import MembershipView
 from emberlatch.cluster.message_store import Record
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
@@ -262,3 +263,47 @@
         assert not executed_more_than_once(cluster)
 
     play(Plan(85, stores=4), steps)
+
+
+# Guards against: an offer is not answered, and neither is the report that takes it back; another store is offered
+# the message, while the first one takes it late.
+@test("messages that are offered to a store late are delivered once, though reports to it are lost")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        late: set[str] = set()
+        writable_stores = MembershipView.writable_stores
+
+        def intercept(peer: Peer, method: str, payload: Any) -> Awaitable[None] | None:
+            if method == RpcMethod.REPAIR and peer.name in late:
+                raise lost(peer, method)
+            if method == RpcMethod.ASSUME_OWNERSHIP and not late:
+                late.add(peer.name)
+            if method == RpcMethod.ASSUME_OWNERSHIP and peer.name in late:
+                return offer_late(peer, method, payload)
+            return None
+
+        async def offer_late(peer: Peer, method: str, payload: Any) -> None:
+            peer._tasks.spawn(arrive_late(peer, method, payload))
+            await asyncio.sleep(1.0)
+            raise lost(peer, method)
+
+        async def arrive_late(peer: Peer, method: str, payload: Any) -> None:
+            await asyncio.sleep(1.3)
+            await call_peer(peer, method, payload, 1.0)
+
+        def not_late(self: MembershipView) -> list[Peer]:
+            return [peer for peer in writable_stores(self) if peer.name not in late]
+
+        with intercepted(intercept), patched_attribute(MembershipView, "writable_stores", not_late):
+            sent, owner, _ = await submit_delayed(scenario, 20, 4000)
+            other = next(node.name for node in stores(cluster) if node.name != owner)
+            path = f"/api/retire/{owner}/initiate"
+            assert (await call_control(cluster, other, "POST", path, b'{"period_s":8}')).status == 200
+            await until(lambda: late)
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(1.0)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(86, stores=4), steps)
