The end of a message is kept by a store that receives its copy later

Cause: a report of an end for an unknown message was dropped, unless it was a cancellation. Copies and reports use different connections, and a copy can be answered late, so that a report can overtake the copy, which then stays queued until a comparison and is delivered by the next takeover.

Change: the end is kept as a record without content, and the copy merges with it. Records that were received before the disk was read are merged with those on disk; they were replaced, and counted twice in the digests. The content of a copy is not added to a completed record any more.

--- a/emberlatch/cluster/message_store/local_store.py
+++ b/emberlatch/cluster/message_store/local_store.py
@@ -32,7 +32,8 @@
         self, me: str, index: RecordIndex, database: RecordDatabase, delivery: DeliveryQueue
     ) -> None:
         self.me, self.index, self.database, self.delivery = me, index, database, delivery
-        self.probing: set[str] = set()  # ids of messages being accepted whose probes are not complete
+        # Ids of messages being accepted whose probes are not complete: they are not delivered yet.
+        self.probing: set[str] = set()
         self.phase = Phase.STARTING
 
     @property
@@ -63,10 +64,18 @@
 
     def add_tombstone(self, id: str, epoch: int, owner: str) -> Record:
         """Add a tombstone for an unknown message, so that no copy written under this epoch is delivered."""
+        return self.add_without_content(StateReport(id, MessageState.CANCELLED, "", epoch, owner, 0))
+
+    def add_without_content(self, report: StateReport) -> Record:
+        """Add a record that has only the end or cancellation of an unknown message.
+
+        A queued copy that arrives later is merged with it, and is not delivered.
+        """
         now = self._now()
-        record = Record(id, "", "", "", "", None)
-        record.state, record.epoch, record.owner = MessageState.CANCELLED, epoch, owner
-        record.replicas, record.ended_at, record.expires_at = (self.me, owner), now, now
+        record = Record(report.id, "", "", "", "", None)
+        record.state, record.seal, record.attempts = report.state, report.seal, report.attempts
+        record.epoch, record.owner = report.epoch, report.owner
+        record.replicas, record.ended_at, record.expires_at = (self.me, report.owner), now, now
         self.add(record)
         return record
 
@@ -123,7 +132,8 @@
 
     def _absorb_known(self, record: Record, copy: Record) -> Record:
         self.add_replica_holders(record, copy.replicas)
-        if record.body is None and copy.body is not None and copy.state <= MessageState.CANCELLED:
+        has_content = copy.body is not None and copy.state <= MessageState.CANCELLED
+        if record.body is None and has_content and record.state is not MessageState.COMPLETED:
             self.index.fill_tombstone(record, copy)  # this store had only a tombstone
             self.database.put(record, self._now())
         self.merge(record, copy.state, copy.seal, copy.epoch, copy.owner, copy.attempts)
--- a/emberlatch/cluster/message_store/startup.py
+++ b/emberlatch/cluster/message_store/startup.py
@@ -55,7 +55,10 @@
         records, empty = await self._disk_watch.read_records()
         lost = empty and not first
         for record in records:
-            self._local_store.index.put(record)
+            if record.id in self._local_store.index.records:  # another store has reported it already
+                self._local_store.absorb(record)
+            else:
+                self._local_store.index.put(record)
         if lost:
             log_event(Event.DISK_EMPTY)
         else:
--- a/emberlatch/cluster/message_store/state_commits.py
+++ b/emberlatch/cluster/message_store/state_commits.py
@@ -33,8 +33,8 @@
     async def commit_states(self, request: CommitStateRequest) -> DurableReply:
         """Handle COMMIT_STATE: merge another store's reports; reply whether they are durable.
 
-        Only a cancellation has to be durable for its sender: the reply to other reports is not delayed. A
-        cancellation that arrives before its copy leaves a tombstone, so that the copy is not delivered.
+        Only a cancellation has to be durable for its sender: the reply to other reports is not delayed. An
+        end or a cancellation that arrives before its copy is kept, so that the copy is not delivered.
         """
         for report in request.reports:
             self._merge(report)
@@ -45,8 +45,8 @@
     def _merge(self, report: StateReport) -> None:
         record = self._local_store.index.records.get(report.id)
         if record is None:
-            if report.state is MessageState.CANCELLED:
-                self._local_store.add_tombstone(report.id, report.epoch, report.owner)
+            if report.state is not MessageState.QUEUED:
+                self._local_store.add_without_content(report)
         elif record.body is not None or report.state is not MessageState.QUEUED or record.is_queued:
             self._local_store.merge_report(record, report)
 
--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -307,3 +307,29 @@
         assert not executed_more_than_once(cluster)
 
     play(Plan(86, stores=4), steps)
+
+
+# Guards against: the report of an end overtakes the copy, is dropped, and the copy stays queued.
+@test("a copy that arrives after the end of its message was reported is not queued")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        delayed: set[str] = set()
+
+        def intercept(peer: Peer, method: str, payload: Any) -> Awaitable[None] | None:
+            if method == RpcMethod.REPLICATE and (not delayed or peer.name in delayed):
+                delayed.add(peer.name)
+                return asyncio.sleep(1.0)
+            return None
+
+        with intercepted(intercept):
+            sent = [await submit(scenario, "f0") for _ in range(5)]
+            assert all(one.status == 202 for one in sent)
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(2.0)
+            late_store = delayed.pop()
+            assert any(record_at(cluster, late_store, one.id) for one in sent)
+            assert not queued_at(cluster, late_store, sent)
+
+    play(Plan(87), steps)
