A store that fetches a queued copy is reported the end of the message

Cause: RECORDS gave a queued copy to a store that neither the sender nor the owner noted, so that it learned the end only by a later comparison; if the owner was shut down before, it delivered the message again.

Change: the sender notes the caller as an unconfirmed replica, and a store that received a new queued copy whose replicas do not name it reports itself to all that may have one, the owner among them.

--- a/emberlatch/cluster/message_store/repair.py
+++ b/emberlatch/cluster/message_store/repair.py
@@ -115,13 +115,16 @@
     def _absorb(self, batch: RecordBatch) -> set[str]:
         """Add or merge received copies; return their ids.
 
-        A queued copy of a message that has ended here shows that a store has not learned of the end: all that
-        may have a copy get a report.
+        All that may have a copy get a report of two kinds of records: of a message that has ended here, since
+        its queued copy shows that a store has not learned of the end; and of a new queued copy that does not
+        name this store as a replica, since the owner may not know of it.
         """
         copies = batch.decode(asyncio.get_running_loop().time())
         for copy in copies:
+            unnamed = self._local_store.me not in copy.replicas
             record = self._local_store.absorb(copy)
-            if record is not None and copy.is_queued and record.has_ended:
+            is_new = record is copy
+            if record is not None and copy.is_queued and (record.has_ended or (is_new and unnamed)):
                 self._reports.add([record])
         return {copy.id for copy in copies}
 
@@ -151,14 +154,17 @@
         """Handle DIGEST_RANGES: return the ranges that differ, with summaries of our records in them."""
         return self._local_store.index.differences(node, theirs.digests)
 
-    def records(self, request: MessageIds) -> RecordBatch:
+    def records(self, node: str, request: MessageIds) -> RecordBatch:
         """Handle RECORDS: return the first of the requested records that this store has.
 
-        The caller asks again for those that do not fit into one frame.
+        The store that asks is noted as an unconfirmed replica of them, so that it learns how they end. It
+        asks again for those that do not fit into one frame.
         """
         records = self._local_store.index.records
         found = (records[id] for id in request.ids if id in records)
         batch = next(split_by_size(found), [])
+        for record in batch:
+            record.unconfirmed_replicas |= {node} - set(record.replicas)
         return RecordBatch([self._local_store.to_wire(record) for record in batch])
 
     async def receive(self, batch: RecordBatch) -> DurableReply:
--- a/emberlatch/cluster/message_store/request_handlers.py
+++ b/emberlatch/cluster/message_store/request_handlers.py
@@ -78,8 +78,8 @@
     def _digest_ranges(self, connection: RpcConnection, payload: object) -> object:
         return self._repair.compare_digests(connection.name, RangeDigests.from_wire(payload)).to_wire()
 
-    def _records(self, _: RpcConnection, payload: object) -> object:
-        return self._repair.records(MessageIds.from_wire(payload)).to_wire()
+    def _records(self, connection: RpcConnection, payload: object) -> object:
+        return self._repair.records(connection.name, MessageIds.from_wire(payload)).to_wire()
 
     async def _receive_records(self, _: RpcConnection, payload: object) -> object:
         return (await self._repair.receive(RecordBatch.from_wire(payload))).to_wire()
--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -333,3 +333,24 @@
             assert not queued_at(cluster, late_store, sent)
 
     play(Plan(87), steps)
+
+
+# Guards against: a store fetches a queued copy, and the owner does not report the end to it.
+@test("a store that fetched queued copies from {source} learns how the messages end")
+def _(source: str = each("their owner", "their replica")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 20, 800)
+            third = next(node.name for node in stores(cluster) if node.name not in (owner, replica))
+            program = cluster.nodes[third].running
+            peer = program.membership.stores()[owner if source == "their owner" else replica]
+            repair = cluster.nodes[third].message_store.repair
+            await repair.fetch(peer, [one.id for one in sent])
+            assert len(queued_at(cluster, third, sent)) == len(sent)
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(0.5)
+            assert not queued_at(cluster, third, sent)
+
+    play(Plan(88, stores=4), steps)
