Replicas of a message that two stores accepted learn of each other

Callers saw: if a store took over 0.15 s to accept, its forwarder submitted the message to a second one. When one of the two was shut down after the success, the message ran again.

Cause: each of the two places a copy on a store of its choice; neither learned of the other's, so that the end was reported to one group only. The other group kept queued copies, and the first store itself was none of the replicas that the second one knew.

Change: both stores report their record to all that may have a copy, the one when it is probed, the other when it learns that somebody else owns the message or that it has ended.

--- a/emberlatch/cluster/message_store/accept_service.py
+++ b/emberlatch/cluster/message_store/accept_service.py
@@ -13,6 +13,7 @@
 from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import MessageState, Record
+from emberlatch.cluster.message_store.replica_reports import ReplicaReports
 from emberlatch.cluster.message_store.replication import Replication
 from emberlatch.cluster.message_store.retention import DiskUsage
 from emberlatch.cluster.rpc import Peer
@@ -34,11 +35,13 @@
         replication: Replication,
         cancellation: Cancellation,
         ownership: Ownership,
+        reports: ReplicaReports,
         disk_usage: DiskUsage,
         max_body_bytes: float,
     ) -> None:
         self._local_store, self._cluster = local_store, cluster
         self._replication, self._cancellation, self._ownership = replication, cancellation, ownership
+        self._reports = reports
         self._disk_usage, self._max_body_bytes = disk_usage, max_body_bytes
         self._pending: dict[str, asyncio.Future[AcceptReply]] = {}
 
@@ -110,6 +113,8 @@
         probe = self._cancellation.probe_for_copies(record, request.possible_holders)
         outcome, _ = await asyncio.gather(self._replication.replicate_until_quorum(record, replicas), probe)
         local_store.probing.discard(record.id)  # stores that may deliver it have replied or timed out
+        if record.owner != local_store.me or record.has_ended:
+            self._reports.add([record])  # the replicas chosen here are unknown to the store that delivers it
         durable = await local_commit and self._cluster.satisfies_quorum([local_store.me, *outcome.durable])
         if durable and (reply := await self._reply_if_accepted(record, epoch)) is not None:
             return reply
--- a/emberlatch/cluster/message_store/cancellation.py
+++ b/emberlatch/cluster/message_store/cancellation.py
@@ -8,6 +8,7 @@
 from emberlatch.cluster.message_store.messages import CommitStateRequest, DurableReply, StateReport
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import MessageState, Record
+from emberlatch.cluster.message_store.replica_reports import ReplicaReports
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
 
 CANCEL_TIMEOUT_S = 0.15  # time for another store to write a cancellation to its disk
@@ -17,8 +18,8 @@
 class Cancellation:
     """Cancels messages, and probes for copies of them that other stores accepted."""
 
-    def __init__(self, local_store: LocalStore, cluster: ClusterView) -> None:
-        self._local_store, self._cluster = local_store, cluster
+    def __init__(self, local_store: LocalStore, reports: ReplicaReports, cluster: ClusterView) -> None:
+        self._local_store, self._reports, self._cluster = local_store, reports, cluster
 
     async def cancel(self, record: Record, possible_holders: set[str], epoch: int) -> bool:
         """Cancel a message; return True if no copy of this epoch can be delivered now or later.
@@ -61,7 +62,8 @@
     def probe(self, report: StateReport) -> StateReport:
         """Handle PROBE: another store is accepting a message that this store may have accepted.
 
-        Return the state of the record here after it was merged with the report.
+        Return the state of the record here after it was merged with the report. The replicas that this store
+        chose and the other store learn of each other, so that one owner reports the end to all of them.
         """
         local_store, epoch = self._local_store, report.epoch
         record = local_store.index.records.get(report.id)
@@ -72,4 +74,7 @@
             local_store.merge(record, record.state, "", later_epoch, local_store.me, record.attempts)
         else:
             local_store.merge(record, MessageState.QUEUED, "", epoch, report.owner, report.attempts)
+        if record.state is not MessageState.CANCELLED:
+            local_store.add_replica_holders(record, [report.owner])
+            self._reports.add([record])
         return local_store.state_report(record)
--- a/emberlatch/cluster/message_store/message_store.py
+++ b/emberlatch/cluster/message_store/message_store.py
@@ -67,14 +67,14 @@
         )
         self.disk_watch = DiskWatch(local_store, self.repair, self.ownership, tasks, cluster, listener)
         self.replication = Replication(local_store, cluster)
-        self.cancellation = Cancellation(local_store, cluster)
+        self.cancellation = Cancellation(local_store, self.reports, cluster)
         self.state_commits = StateCommits(local_store, self.reports)
         self._disk_usage = DiskUsage(local_store.database, limits.disk_bytes * MAX_DISK_FILL_RATIO)
         self._retention = Retention(local_store, self.state_commits, limits.retain_status_s)
         self._startup = Startup(local_store, cluster, self.repair, self.ownership, self.disk_watch)
         self.accept_service = AcceptService(
-            local_store, cluster, self.replication, self.cancellation, self.ownership, self._disk_usage,
-            limits.memory_bytes * MAX_MEMORY_FILL_RATIO,
+            local_store, cluster, self.replication, self.cancellation, self.ownership, self.reports,
+            self._disk_usage, limits.memory_bytes * MAX_MEMORY_FILL_RATIO,
         )  # fmt: skip
 
     @property
--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -354,3 +354,62 @@
             assert not queued_at(cluster, third, sent)
 
     play(Plan(88, stores=4), steps)
+
+
+@contextmanager
+def first_store_answers_late() -> Iterator[list[str]]:
+    """Let the store that a forwarder asks first answer after its time-out; yield the stores that were asked."""
+    asked: list[str] = []
+
+    async def answer_late(self: Peer, method: str, payload: object, timeout: float) -> object:
+        if method != RpcMethod.ACCEPT:
+            return await call_peer(self, method, payload, timeout)
+        if self.name not in asked:
+            asked.append(self.name)
+        if self.name != asked[0]:
+            return await call_peer(self, method, payload, timeout)
+        await call_peer(self, method, payload, 1.0)
+        await asyncio.sleep(timeout)
+        raise lost(self, method)
+
+    with intercepted(lambda *_: None), patched_attribute(Peer, "call", answer_late):
+        yield asked
+
+
+async def submit_twice(scenario: Scenario) -> list[SentMessage]:
+    """Submit messages that two stores accept, with copies on different stores, and wait until they succeeded."""
+    for number, node in enumerate(stores(scenario.cluster)):
+        node.running.membership._selection._selections += number
+    sent = [await submit(scenario, "f0", 1500) for _ in range(10)]
+    await until_all_succeeded(scenario.cluster, sent)
+    return sent
+
+
+# Guards against: a forwarder submits a message to a second store since the first one is slow; each of the two
+# places a copy on a store that the other does not know of, which takes over when the first one is shut down.
+@test("messages that two stores accepted do not run again when {restarted} of them is shut down")
+def _(restarted: str = each("the first", "the second")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with first_store_answers_late() as asked:
+            await submit_twice(scenario)
+            assert len(asked) >= 2
+            await shut_down_for_good(cluster.nodes[asked[0 if restarted == "the first" else 1]])
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(89, zones=1, stores=5), steps)
+
+
+# Guards against: of a message that two stores accepted, one keeps a queued copy after the end.
+@test("all stores with a copy of messages that two stores accepted learn how these end")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with first_store_answers_late():
+            sent = await submit_twice(scenario)
+            await asyncio.sleep(0.5)
+            assert not any(queued_at(cluster, node.name, sent) for node in stores(cluster))
+
+    play(Plan(89, zones=1, stores=5), steps)
