--- a/emberlatch/cluster/message_store/messages.py
+++ b/emberlatch/cluster/message_store/messages.py
@@ -12,10 +12,9 @@
 from typing import Any, Self, cast
 
 from emberlatch.cluster.message_store.record import MessageState, Record, WireRecord
+from emberlatch.cluster.message_store.wire_items import DECODE_ERRORS, wire_items
 from emberlatch.cluster.rpc.errors import MessageDecodeError
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-
 
 @dataclass(frozen=True, slots=True)
 class SubmittedMessage:
@@ -65,7 +64,7 @@
                 fields["body"], fields["delay"], fields["retention"], fields["version"],
             )  # fmt: skip
             return cls(message, fields["age"], int(fields["tries"]), fields.get("maybe") or [])
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise MessageDecodeError("accept request", repr(error)) from error
 
 
@@ -90,7 +89,7 @@
         fields = cast("dict[str, Any]", payload)
         try:
             return cls(bool(fields["ok"]), bool(fields["clear"]), str(fields["why"]))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise MessageDecodeError("accept reply", repr(error)) from error
 
 
@@ -118,7 +117,7 @@
         try:
             id, state, seal, epoch, owner, attempts = cast("list[Any]", payload)
             return cls(str(id), MessageState(state), str(seal), int(epoch), str(owner), int(attempts))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise MessageDecodeError("state report", repr(error)) from error
 
 
@@ -135,7 +134,7 @@
     @classmethod
     def from_wire(cls, payload: object) -> Self:
         """Decode the wire form."""
-        return cls(tuple(map(StateReport.from_wire, _items("commit of states", payload))))
+        return cls(tuple(map(StateReport.from_wire, wire_items("commit of states", payload))))
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +212,7 @@
         try:
             name, seal = cast("list[Any]", payload)
             return cls(str(name), str(seal))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise MessageDecodeError("message status", repr(error)) from error
 
 
@@ -235,44 +234,6 @@
         return cls(payload)
 
 
-@dataclass(frozen=True, slots=True)
-class OwnershipOffer:
-    """One message in an ASSUME_OWNERSHIP request, with the epoch in which the receiver is to own it."""
-
-    id: str
-    epoch: int
-    attempts: int
-
-    def to_wire(self) -> list[object]:
-        """Return the wire form."""
-        return [self.id, self.epoch, self.attempts]
-
-    @classmethod
-    def from_wire(cls, payload: object) -> Self:
-        """Decode the wire form."""
-        try:
-            id, epoch, attempts = cast("list[Any]", payload)
-            return cls(str(id), int(epoch), int(attempts))
-        except _DECODE_ERRORS as error:
-            raise MessageDecodeError("ownership offer", repr(error)) from error
-
-
-@dataclass(frozen=True, slots=True)
-class AssumeOwnershipRequest:
-    """Request of ASSUME_OWNERSHIP: the owner makes the receiver the owner of these messages."""
-
-    offers: tuple[OwnershipOffer, ...]
-
-    def to_wire(self) -> list[list[object]]:
-        """Return the wire form."""
-        return [offer.to_wire() for offer in self.offers]
-
-    @classmethod
-    def from_wire(cls, payload: object) -> Self:
-        """Decode the wire form."""
-        return cls(tuple(map(OwnershipOffer.from_wire, _items("assume ownership", payload))))
-
-
 @dataclass(frozen=True, slots=True)
 class MessageIds:
     """Ids of messages. In a RECORDS request: the requested records.
@@ -289,7 +250,7 @@
     @classmethod
     def from_wire(cls, payload: object) -> Self:
         """Decode the wire form."""
-        return cls(tuple(map(str, _items("ids", payload))))
+        return cls(tuple(map(str, wire_items("ids", payload))))
 
 
 @dataclass(frozen=True, slots=True)
@@ -308,66 +269,7 @@
     @classmethod
     def from_wire(cls, payload: object) -> Self:
         """Decode the wire form."""
-        return cls(tuple(cast("list[int]", _items("range digests", payload))))
-
-
-@dataclass(frozen=True, slots=True)
-class TakeoverCandidate:
-    """A message that a store is about to take over, with the epoch of its former owner."""
-
-    id: str
-    epoch: int
-
-    def to_wire(self) -> list[object]:
-        """Return the wire form."""
-        return [self.id, self.epoch]
-
-    @classmethod
-    def from_wire(cls, payload: object) -> Self:
-        """Decode the wire form."""
-        try:
-            id, epoch = cast("list[Any]", payload)
-            return cls(str(id), int(epoch))
-        except _DECODE_ERRORS as error:
-            raise MessageDecodeError("takeover candidate", repr(error)) from error
-
-
-@dataclass(frozen=True, slots=True)
-class TakeoverInquiry:
-    """Request of TAKEOVER_INQUIRY: `claimant` is about to own these messages, whose owner has stopped."""
-
-    claimant: str
-    candidates: tuple[TakeoverCandidate, ...]
-
-    def to_wire(self) -> list[object]:
-        """Return the wire form."""
-        return [self.claimant, [candidate.to_wire() for candidate in self.candidates]]
-
-    @classmethod
-    def from_wire(cls, payload: object) -> Self:
-        """Decode the wire form."""
-        try:
-            claimant, candidates = cast("list[Any]", payload)
-        except _DECODE_ERRORS as error:
-            raise MessageDecodeError("takeover inquiry", repr(error)) from error
-        items = _items("takeover inquiry", candidates)
-        return cls(str(claimant), tuple(map(TakeoverCandidate.from_wire, items)))
-
-
-@dataclass(frozen=True, slots=True)
-class StateReports:
-    """Reply to TAKEOVER_INQUIRY: the receiver's records of these messages; it has no copy of the others."""
-
-    reports: tuple[StateReport, ...]
-
-    def to_wire(self) -> list[list[object]]:
-        """Return the wire form."""
-        return [report.to_wire() for report in self.reports]
-
-    @classmethod
-    def from_wire(cls, payload: object) -> Self:
-        """Decode the wire form."""
-        return cls(tuple(map(StateReport.from_wire, _items("state reports", payload))))
+        return cls(tuple(cast("list[int]", wire_items("range digests", payload))))
 
 
 CopySummary = list[Any]
@@ -395,7 +297,7 @@
         fields = cast("dict[str, Any]", payload)
         try:
             return cls(list(fields["differ"]), dict(fields["summary"]))
-        except _DECODE_ERRORS as error:
+        except DECODE_ERRORS as error:
             raise MessageDecodeError("range differences", repr(error)) from error
 
 
@@ -412,14 +314,8 @@
     @classmethod
     def from_wire(cls, payload: object) -> Self:
         """Decode the wire form."""
-        return cls(cast("list[WireRecord]", _items("record batch", payload)))
+        return cls(cast("list[WireRecord]", wire_items("record batch", payload)))
 
     def decode(self, now: float) -> list[Record]:
         """Return the decoded records; `now` is added to their relative times."""
         return [Record.from_wire(record, now) for record in self.records]
-
-
-def _items(message: str, payload: object) -> list[object]:
-    if not isinstance(payload, list):
-        raise MessageDecodeError(message, f"{payload!r:.40} is no list")
-    return payload
--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -14,12 +14,8 @@
 
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.message_store.local_store import LocalStore
-from emberlatch.cluster.message_store.messages import (
-    AssumeOwnershipRequest,
-    MessageIds,
-    OwnershipOffer,
-    StateReport,
-)
+from emberlatch.cluster.message_store.messages import MessageIds, StateReport
+from emberlatch.cluster.message_store.ownership_messages import AssumeOwnershipRequest, OwnershipOffer
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import Record
 from emberlatch.cluster.message_store.repair import NEVER, Repair, split
--- a/emberlatch/cluster/message_store/request_handlers.py
+++ b/emberlatch/cluster/message_store/request_handlers.py
@@ -8,15 +8,14 @@
 from emberlatch.cluster.message_store.message_store import MessageStore
 from emberlatch.cluster.message_store.messages import (
     AcceptRequest,
-    AssumeOwnershipRequest,
     CommitStateRequest,
     MessageIds,
     MessageQuery,
     RangeDigests,
     RecordBatch,
     StateReport,
-    TakeoverInquiry,
 )
+from emberlatch.cluster.message_store.ownership_messages import AssumeOwnershipRequest, TakeoverInquiry
 from emberlatch.cluster.message_store.record import Record
 from emberlatch.cluster.rpc import RpcConnection, RpcMethod
 
--- a/emberlatch/cluster/message_store/takeover.py
+++ b/emberlatch/cluster/message_store/takeover.py
@@ -13,13 +13,13 @@
 
 from emberlatch.cluster.events import Event, log_event
 from emberlatch.cluster.message_store.local_store import LocalStore, Phase
-from emberlatch.cluster.message_store.messages import (
-    StateReport,
+from emberlatch.cluster.message_store.messages import StateReport
+from emberlatch.cluster.message_store.ownership import Ownership
+from emberlatch.cluster.message_store.ownership_messages import (
     StateReports,
     TakeoverCandidate,
     TakeoverInquiry,
 )
-from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import MessageState, Record
 from emberlatch.cluster.message_store.repair import split
--- a/tests/cluster/test_message_store_messages.py
+++ b/tests/cluster/test_message_store_messages.py
@@ -10,20 +10,25 @@
 
 from emberlatch.cluster.message_store import AcceptReply, AcceptRequest, MessageState, Record
 from emberlatch.cluster.message_store.messages import (
-    AssumeOwnershipRequest,
     CommitStateRequest,
     DurableReply,
     MessageBody,
     MessageIds,
     MessageQuery,
     MessageStatus,
-    OwnershipOffer,
     RangeDifferences,
     RangeDigests,
     RecordBatch,
     ReplicateReply,
     StateReport,
 )
+from emberlatch.cluster.message_store.ownership_messages import (
+    AssumeOwnershipRequest,
+    OwnershipOffer,
+    StateReports,
+    TakeoverCandidate,
+    TakeoverInquiry,
+)
 from emberlatch.cluster.rpc import MessageDecodeError, RpcMethod
 from tests.cluster.recorded_frames import payloads
 
@@ -103,6 +108,10 @@
     report = StateReport.from_wire(["m", 3, "seal", 2, "s1", 4])
     assert report == StateReport("m", MessageState.COMPLETED, "seal", 2, "s1", 4)
     assert OwnershipOffer.from_wire(["m", 2, 4]) == OwnershipOffer("m", epoch=2, attempts=4)
+    inquiry = TakeoverInquiry.from_wire(["s1", [["m", 2]]])
+    assert inquiry == TakeoverInquiry("s1", (TakeoverCandidate("m", epoch=2),))
+    assert inquiry.to_wire() == ["s1", [["m", 2]]]
+    assert StateReports.from_wire(StateReports((report,)).to_wire()) == StateReports((report,))
     reply = AcceptReply.from_wire({"ok": False, "clear": True, "why": "full"})
     assert reply == AcceptReply(accepted=False, surely_not_executed=True, reason="full")
     wire = {
@@ -131,6 +140,10 @@
         (MessageStatus.from_wire, ["queued"]),
         (MessageBody.from_wire, "text"),
         (AssumeOwnershipRequest.from_wire, [["m", "later", 0]]),
+        (TakeoverInquiry.from_wire, ["s1"]),
+        (TakeoverInquiry.from_wire, ["s1", [["m"]]]),
+        (TakeoverInquiry.from_wire, ["s1", None]),
+        (StateReports.from_wire, "m"),
         (MessageIds.from_wire, None),
         (RangeDigests.from_wire, 3),
         (RangeDifferences.from_wire, {"differ": []}),
--- a/tests/cluster/test_replica_changes.py
+++ b/tests/cluster/test_replica_changes.py
@@ -10,8 +10,9 @@
 
 from emberlatch.cluster.membership import MembershipView
 from emberlatch.cluster.message_store import Record
-from emberlatch.cluster.message_store.messages import AssumeOwnershipRequest, MessageIds
+from emberlatch.cluster.message_store.messages import MessageIds
 from emberlatch.cluster.message_store.ownership import Ownership
+from emberlatch.cluster.message_store.ownership_messages import AssumeOwnershipRequest
 from emberlatch.cluster.message_store.record_batches import MAX_BATCH_BYTES, record_bytes, split_by_size
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
