--- a/emberlatch/cluster/message_store/ownership.py
+++ b/emberlatch/cluster/message_store/ownership.py
@@ -95,7 +95,7 @@
         try:
             stores = self._cluster.counted_stores()
             _, *taken = await asyncio.gather(
-                self._settle_unanswered_offers(),
+                self._resolve_unanswered_offers(),
                 *(self._hand_over_to(stores[name], theirs) for name, theirs in by_owner.items()),
             )
         finally:
@@ -168,17 +168,17 @@
                 self._local_store.set_owner(record, offer.epoch + 1, record.owner, record.attempts)
                 self._unanswered_offers[record.id] = peer.name
 
-    async def _settle_unanswered_offers(self) -> int:
+    async def _resolve_unanswered_offers(self) -> int:
         """Ask the stores that have not answered an offer whether they took the message.
 
         Return the number of offers that were open.
         """
         unanswered = list(self._unanswered_offers.items())
-        await asyncio.gather(*(self._settle_offer(id, node) for id, node in unanswered))
+        await asyncio.gather(*(self._resolve_offer(id, node) for id, node in unanswered))
         return len(unanswered)
 
-    async def _settle_offer(self, id: str, node: str) -> None:
-        """Ask a store about a record that it was offered; forget the offer once that is settled.
+    async def _resolve_offer(self, id: str, node: str) -> None:
+        """Ask a store about a record that it was offered; forget the offer once that is known.
 
         The store keeps the message if it delivers it already. Otherwise it learns that this process owns it,
         with a later epoch than that of the offer, which has no effect if it arrives after that.
--- a/emberlatch/cluster/message_store/wire_items.py
+++ b/emberlatch/cluster/message_store/wire_items.py
@@ -1,4 +1,4 @@
-"""Helpers to decode the payloads of calls. Pure: no disk, no clock, no network."""
+"""Decodes parts of the payloads of calls. Pure: no disk, no clock, no network."""
 
 from __future__ import annotations
 
