A takeover's inquiry adopts neither a cancellation nor another store's claim

Change: cancellations in a reply are ignored: every store that may have a copy of a cancelled attempt was told by the store that cancelled. The ids that the receiver claims itself are a list of their own in the reply; the caller leaves them alone and asks again while their owner is stopped.

Seen: "messages are taken over though a third store refused them before they were accepted" fails on the commit before (the messages never run) and passes now.

--- a/emberlatch/cluster/message_store/ownership_messages.py
+++ b/emberlatch/cluster/message_store/ownership_messages.py
@@ -95,16 +95,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StateReports:
-    """Reply to TAKEOVER_INQUIRY: the receiver's records of these messages; it has no copy of the others."""
+class TakeoverReply:
+    """Reply to TAKEOVER_INQUIRY: what the receiver knows of the messages; it has no copy of the others.
+
+    `claimed_ids` are messages that the receiver itself is about to take over: the caller leaves them to it.
+    """
 
     reports: tuple[StateReport, ...]
+    claimed_ids: tuple[str, ...]
 
-    def to_wire(self) -> list[list[object]]:
+    def to_wire(self) -> list[object]:
         """Return the wire form."""
-        return [report.to_wire() for report in self.reports]
+        return [[report.to_wire() for report in self.reports], list(self.claimed_ids)]
 
     @classmethod
     def from_wire(cls, payload: object) -> Self:
         """Decode the wire form."""
-        return cls(tuple(map(StateReport.from_wire, wire_items("state reports", payload))))
+        try:
+            reports, claimed_ids = cast("list[Any]", payload)
+        except DECODE_ERRORS as error:
+            raise MessageDecodeError("takeover reply", repr(error)) from error
+        items = wire_items("takeover reply", reports)
+        ids = wire_items("takeover reply", claimed_ids)
+        return cls(tuple(map(StateReport.from_wire, items)), tuple(map(str, ids)))
--- a/emberlatch/cluster/message_store/takeover.py
+++ b/emberlatch/cluster/message_store/takeover.py
@@ -16,9 +16,9 @@
 from emberlatch.cluster.message_store.messages import StateReport
 from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.ownership_messages import (
-    StateReports,
     TakeoverCandidate,
     TakeoverInquiry,
+    TakeoverReply,
 )
 from emberlatch.cluster.message_store.ports import ClusterView
 from emberlatch.cluster.message_store.record import MessageState, Record
@@ -128,14 +128,15 @@
         peers = [peer for node, peer in counted.items() if peer.up or node not in stopped]
         replies = await asyncio.gather(*(self._ask(peer, inquiry) for peer in peers))
         known_by = Counter[str]()
-        for peer, reports in zip(peers, replies, strict=True):
-            later = sum(self._merge(peer, report) for report in reports)
+        for peer, reply in zip(peers, replies, strict=True):
+            self._claimed.difference_update(reply.claimed_ids)
+            later = sum(self._merge(peer, report) for report in reply.reports)
             if later:
                 known_by[peer.name] = later
         return known_by
 
-    async def _ask(self, peer: Peer, inquiry: TakeoverInquiry) -> tuple[StateReport, ...]:
-        """Return a store's answer; nothing if it gives none in time, or has stopped meanwhile.
+    async def _ask(self, peer: Peer, inquiry: TakeoverInquiry) -> TakeoverReply:
+        """Return a store's answer; an empty one if it gives none in time, or has stopped meanwhile.
 
         A store whose link is down is asked once the link is up again.
         """
@@ -146,47 +147,46 @@
                 break
             try:
                 reply = await peer.call(RpcMethod.TAKEOVER_INQUIRY, inquiry.to_wire(), remaining_s)
-                return StateReports.from_wire(reply).reports
+                return TakeoverReply.from_wire(reply)
             except CallFailedError:
                 if peer.up:  # it was silent for too long, or is of a version that does not know the method
                     break
                 await asyncio.sleep(INQUIRY_RETRY_S)
-        return ()
+        return TakeoverReply((), ())
 
     def _merge(self, peer: Peer, report: StateReport) -> bool:
-        """Merge a store's answer, and note its copy; return whether its copy was in a later state."""
+        """Merge a store's answer, and note its copy; return whether its copy was in a later state.
+
+        A cancellation is ignored: it may be of another attempt to accept the message, which was accepted
+        since. Every store that may have a copy of a cancelled attempt was told by the store that cancelled.
+        """
         record = self._local_store.index.records.get(report.id)
-        if record is None:
+        if record is None or report.state is MessageState.CANCELLED:
             return False
         self._local_store.add_replica_holders(record, [peer.name])
         return self._local_store.merge_report(record, report)
 
     # Inquiries of other stores.
 
-    def answer(self, inquiry: TakeoverInquiry) -> StateReports:
+    def answer(self, inquiry: TakeoverInquiry) -> TakeoverReply:
         """Handle TAKEOVER_INQUIRY: return what this store knows of the messages.
 
         The claimant is named as a replica, so that it learns how the messages end.
         """
-        answers = []
+        reports, claimed_ids = list[StateReport](), list[str]()
         for candidate in inquiry.candidates:
             record = self._local_store.index.records.get(candidate.id)
-            if record is not None:
-                self._local_store.add_replica_holders(record, [inquiry.claimant])
-                answers.append(self._answer_one(record, candidate, inquiry.claimant))
-        return StateReports(tuple(answers))
-
-    def _answer_one(self, record: Record, candidate: TakeoverCandidate, claimant: str) -> StateReport:
-        """Return the state of a record, after the conflict with a claim of this store was resolved."""
-        me = self._local_store.me
-        if record.is_queued and self._delivers(record):
-            self._keep(record, candidate)
-        elif record.id in self._claimed and me < claimant:
-            epoch = candidate.epoch + TAKEOVER_EPOCHS
-            return StateReport(record.id, MessageState.QUEUED, "", epoch, me, record.attempts)
-        else:
-            self._claimed.discard(record.id)
-        return self._local_store.state_report(record)
+            if record is None:
+                continue
+            self._local_store.add_replica_holders(record, [inquiry.claimant])
+            if record.is_queued and self._delivers(record):
+                self._keep(record, candidate)
+            elif record.id in self._claimed and self._local_store.me < inquiry.claimant:
+                claimed_ids.append(record.id)
+            else:
+                self._claimed.discard(record.id)
+            reports.append(self._local_store.state_report(record))
+        return TakeoverReply(tuple(reports), tuple(claimed_ids))
 
     def _keep(self, record: Record, candidate: TakeoverCandidate) -> None:
         """Own a message that this store delivers, with a later epoch than the claimant knows."""
--- a/tests/cluster/test_message_store_messages.py
+++ b/tests/cluster/test_message_store_messages.py
@@ -25,9 +25,9 @@
 from emberlatch.cluster.message_store.ownership_messages import (
     AssumeOwnershipRequest,
     OwnershipOffer,
-    StateReports,
     TakeoverCandidate,
     TakeoverInquiry,
+    TakeoverReply,
 )
 from emberlatch.cluster.rpc import MessageDecodeError, RpcMethod
 from tests.cluster.recorded_frames import payloads
@@ -111,7 +111,9 @@
     inquiry = TakeoverInquiry.from_wire(["s1", [["m", 2]]])
     assert inquiry == TakeoverInquiry("s1", (TakeoverCandidate("m", epoch=2),))
     assert inquiry.to_wire() == ["s1", [["m", 2]]]
-    assert StateReports.from_wire(StateReports((report,)).to_wire()) == StateReports((report,))
+    wire_reply = [[["m", 3, "seal", 2, "s1", 4]], ["n"]]
+    assert TakeoverReply.from_wire(wire_reply) == TakeoverReply((report,), claimed_ids=("n",))
+    assert TakeoverReply((report,), ("n",)).to_wire() == wire_reply
     reply = AcceptReply.from_wire({"ok": False, "clear": True, "why": "full"})
     assert reply == AcceptReply(accepted=False, surely_not_executed=True, reason="full")
     wire = {
@@ -143,7 +145,8 @@
         (TakeoverInquiry.from_wire, ["s1"]),
         (TakeoverInquiry.from_wire, ["s1", [["m"]]]),
         (TakeoverInquiry.from_wire, ["s1", None]),
-        (StateReports.from_wire, "m"),
+        (TakeoverReply.from_wire, [[], None]),
+        (TakeoverReply.from_wire, "m"),
         (MessageIds.from_wire, None),
         (RangeDigests.from_wire, 3),
         (RangeDifferences.from_wire, {"differ": []}),
--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -265,6 +265,25 @@
     play(Plan(85, stores=4), steps)
 
 
+# Guards against: a store that asks before it takes over adopts the cancellation of another attempt to accept the
+# message, which a store refused before this one accepted it.
+@test("messages are taken over though a third store refused them before they were accepted")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 20, 2000)
+            third = next(node.name for node in stores(cluster) if node.name not in (owner, replica))
+            for one in sent:
+                cluster.nodes[third].message_store.local_store.add_tombstone(one.id, 1, third)
+            cluster.nodes[owner].power_off(1000.0)
+            await until_all_succeeded(cluster, sent)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(90, stores=4), steps)
+
+
 # Guards against: an offer is not answered, and neither is the report that takes it back; another store is offered
 # the message, while the first one takes it late.
 @test("messages that are offered to a store late are delivered once, though reports to it are lost")
