Tests: an owner that is started again, and a late offer, beside a takeover

Need: two rules of the takeover had no test that fails without them: that a former owner which runs again keeps its messages, and that a takeover skips an epoch.

Change: a test for each; runs of targets have a mean that a test can choose.

--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -13,6 +13,7 @@
 
 from emberlatch.cluster.membership import MembershipView
 from emberlatch.cluster.message_store import Record
+from emberlatch.cluster.message_store.ownership_messages import AssumeOwnershipRequest, OwnershipOffer
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
 from emberlatch.simulation.cluster import SimulatedCluster
@@ -199,10 +200,12 @@
     return bytes((await call_control(cluster, store, "GET", f"{path}/retrieve")).body)
 
 
-async def until_in_flight(cluster: SimulatedCluster, owner: str, sent: list[SentMessage]) -> None:
+async def until_in_flight(
+    cluster: SimulatedCluster, owner: str, sent: list[SentMessage], mean_run_s: float = 0.3
+) -> None:
     """Make the targets slow, and wait until the owner has sent one of the messages to a target."""
     for target in cluster.targets.values():
-        target.mean_run_s = 0.3
+        target.mean_run_s = mean_run_s
     is_in_flight = cluster.nodes[owner].message_store.local_store.delivery.is_in_flight
     records = [record for one in sent if (record := record_at(cluster, owner, one.id)) is not None]
     await until(lambda: any(is_in_flight(record) for record in records))
@@ -284,6 +287,52 @@
     play(Plan(90, stores=4), steps)
 
 
+# Guards against: the owner was started again while a store asked the others, and both deliver.
+@test("an owner that is started again during a takeover's inquiry keeps its messages")
+def _() -> None:
+    async def inquire_late(self: Peer, method: str, payload: object, timeout: float) -> object:
+        if method != RpcMethod.TAKEOVER_INQUIRY:
+            return await call_peer(self, method, payload, timeout)
+        await asyncio.sleep(2.0)
+        return await call_peer(self, method, payload, timeout)
+
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with patched_attribute(Peer, "call", inquire_late):
+            sent, owner, _ = await submit_delayed(scenario, 8, 3000)
+            await asyncio.sleep(0.7)
+            cluster.nodes[owner].kill(restart_after_s=0.7)
+            await asyncio.sleep(1.5)
+            await until_in_flight(cluster, owner, sent, mean_run_s=0.15)
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(1.0)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(91, stores=4), steps)
+
+
+# Guards against: a stopped owner's offer arrives after the takeover and has the same epoch.
+@test("an offer of the stopped owner that arrives after the takeover has no effect")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 10, 3000)
+            third = max(node.name for node in stores(cluster) if node.name != owner)
+            assert third > replica
+            give_copies(cluster, sent, owner, third, (owner, replica, third))
+            cluster.nodes[owner].kill(restart_after_s=1000.0)
+            await until(lambda: all(owned_at(cluster, replica, one.id) for one in sent))
+            await asyncio.sleep(0.1)
+            offers = tuple(OwnershipOffer(one.id, 2, 0) for one in sent)
+            cluster.nodes[third].message_store.ownership.assume_ownership(AssumeOwnershipRequest(offers))
+            assert not any(owned_at(cluster, third, one.id) for one in sent)
+
+    play(Plan(92, stores=4), steps)
+
+
 # Guards against: an offer is not answered, and neither is the report that takes it back; another store is offered
 # the message, while the first one takes it late.
 @test("messages that are offered to a store late are delivered once, though reports to it are lost")
