Tests: a rule of the takeover and of late ends each, which no test failed without

Need: taken out alone on a scratch copy (trials), several rules of today's mends failed no test: that an owner, and a store with a call in flight, keep a message against a takeover; that an evacuation waits for the acknowledgements; that a record on disk is merged with an end that was reported before; that the body of a copy is not added to a completed record.

Change: a test or an assertion for each.

Seen: each fails without its rule and passes with it.

--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -12,7 +12,11 @@
 from ward import each, test
 
 from emberlatch.cluster.membership import MembershipView
-from emberlatch.cluster.message_store import Record
+from emberlatch.cluster.message_store import MessageState, Record, StateReport
+from emberlatch.cluster.message_store.disk_watch import DiskWatch
+from emberlatch.cluster.message_store.index import range_of
+from emberlatch.cluster.message_store.messages import CommitStateRequest
+from emberlatch.cluster.message_store.ownership import Ownership
 from emberlatch.cluster.message_store.ownership_messages import AssumeOwnershipRequest, OwnershipOffer
 from emberlatch.cluster.message_store.repair import Repair
 from emberlatch.cluster.rpc import CallFailedError, Peer, RpcMethod
@@ -26,6 +30,7 @@
     executed_more_than_once,
     patched_attribute,
     play,
+    record,
     submit,
     success_count,
     until,
@@ -189,6 +194,7 @@
             reports_arrive = b"completed" not in (await retrieve(cluster, other, path))
             await asyncio.sleep(1.0)
             assert b"completed" in (await retrieve(cluster, other, path))
+            assert not queued_at(cluster, replica, sent)
             cluster.nodes[owner].kill(restart_after_s=1000.0)
             await asyncio.sleep(4.0)
         assert not executed_more_than_once(cluster)
@@ -333,6 +339,54 @@
     play(Plan(92, stores=4), steps)
 
 
+# Guards against: a store regards a running owner as stopped, and takes its messages over.
+@test("an owner that another store wrongly regards as stopped keeps its messages")
+def _() -> None:
+    has_surely_stopped = Ownership.has_surely_stopped
+    suspected: set[str] = set()
+
+    def suspect(self: Ownership, peer: Peer, now: float) -> bool:
+        return peer.name in suspected or has_surely_stopped(self, peer, now)
+
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None), patched_attribute(Ownership, "has_surely_stopped", suspect):
+            sent, owner, _ = await submit_delayed(scenario, 10, 1000)
+            suspected.add(owner)
+            await asyncio.sleep(0.5)
+            assert all(owned_at(cluster, owner, one.id) for one in sent)
+            await until_all_succeeded(cluster, sent)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(93, stores=4), steps)
+
+
+# Guards against: a message is taken over from its stopped owner while another store still has a call in flight
+# for it, as the owner had got it from that store meanwhile.
+@test("a store whose call is in flight keeps the message when its owner on record has stopped")
+def _() -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        cluster = scenario.cluster
+        with intercepted(lambda *_: None):
+            sent, owner, replica = await submit_delayed(scenario, 6, 600)
+            third = next(node.name for node in stores(cluster) if node.name not in (owner, replica))
+            cluster.nodes[third].kill(restart_after_s=1000.0)
+            await until_in_flight(cluster, owner, sent)
+            for store in (owner, replica):
+                local_store = cluster.nodes[store].message_store.local_store
+                for one in sent:
+                    record = local_store.index.records[one.id]
+                    local_store.set_owner(record, 2, third, 0)
+                    local_store.index.set_replicas(record, (replica, owner, third))
+            await until_all_succeeded(cluster, sent)
+            await asyncio.sleep(1.0)
+        assert not executed_more_than_once(cluster)
+
+    play(Plan(94, stores=4), steps)
+
+
 # Guards against: an offer is not answered, and neither is the report that takes it back; another store is offered
 # the message, while the first one takes it late.
 @test("messages that are offered to a store late are delivered once, though reports to it are lost")
@@ -403,6 +457,33 @@
     play(Plan(87), steps)
 
 
+# Guards against: the record on disk replaces the end that was reported before the disk was read, or is counted
+# beside it in the digests; and the body of a copy stays in memory though its message is completed.
+@test("an end that is reported before the {source} is merged outweighs it, and its body is not kept")
+def _(source: str = each("record on disk", "copy of another store")) -> None:
+    async def steps(scenario: Scenario) -> None:
+        await scenario.start()
+        store = scenario.cluster.nodes["s1"].message_store
+        index, copy = store.local_store.index, record("m", owner="s0", replicas=("s0", "s1"))
+        end = StateReport("m", MessageState.COMPLETED, "seal", 1, "s0", 0)
+        await store.state_commits.commit_states(CommitStateRequest((end,)))
+
+        async def read_records(_: DiskWatch) -> tuple[list[Record], bool]:
+            return [copy], False
+
+        with patched_attribute(DiskWatch, "read_records", read_records):
+            if source == "record on disk":
+                await store._startup._read_disk(first=False)
+            else:
+                store.local_store.absorb(copy)
+        merged = index.records["m"]
+        assert (merged.state, merged.seal, merged.body) == (MessageState.COMPLETED, "seal", None)
+        assert index.body_bytes == 0
+        assert index.digests("s0")[range_of("m")] == merged.fingerprint()
+
+    assert not play(Plan(95), steps)[1]
+
+
 # Guards against: a store fetches a queued copy, and the owner does not report the end to it.
 @test("a store that fetched queued copies from {source} learns how the messages end")
 def _(source: str = each("their owner", "their replica")) -> None:
