Tests: two stores that accept a message choose different replicas in all forms

Change: the counters of the stores' choices differ by seven, so that their choices do.

Seen: of the messages that are due at once, copies stay queued without that report, and none with it.

--- a/tests/cluster/test_stale_copies.py
+++ b/tests/cluster/test_stale_copies.py
@@ -550,7 +550,7 @@
 async def submit_twice(scenario: Scenario, delay_ms: int = 1500) -> list[SentMessage]:
     """Submit messages that two stores accept, with copies on different stores, and wait until they succeeded."""
     for number, node in enumerate(stores(scenario.cluster)):
-        node.running.membership._selection._selections += number
+        node.running.membership._selection._selections += 7 * number
     sent = [await submit(scenario, "f0", delay_ms) for _ in range(10)]
     await until_all_succeeded(scenario.cluster, sent)
     return sent
