A docstring of the takeover follows the vocabulary

Change: the sentence names the store that reports and those that receive it. The program is as it was.

Seen: the tests of the vocabulary and of documents pass.

--- a/emberlatch/cluster/message_store/takeover.py
+++ b/emberlatch/cluster/message_store/takeover.py
@@ -158,7 +158,7 @@
         """Merge a store's answer, and note its copy; return whether its copy was in a later state.
 
         A cancellation is ignored: it may be of another attempt to accept the message, which was accepted
-        since. Every store that may have a copy of a cancelled attempt was told by the store that cancelled.
+        since. The store that cancels reports it to every store that may have a copy of that attempt.
         """
         record = self._local_store.index.records.get(report.id)
         if record is None or report.state is MessageState.CANCELLED:
